Serve the whole path thinly over separate processes

Cause: nothing existed yet. Change: package skeleton in layers, look-up, forwarding with static slots and the baseline policy, store client, stand-ins, starter of processes, checks. Conclusion: a frame in which the parts can be built side by side.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,3 @@
+"""Measurements, the stand-ins they run against and the starter of processes."""
+
+from __future__ import annotations
--- /dev/null
+++ b/scripts/__init__.py
@@ -0,0 +1,3 @@
+"""Programs for developers: checks, generation and the demo."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/masticdeck/application.py
@@ -0,0 +1,63 @@
+"""The application object: owns components, starts them and cleans them up."""
+
+from __future__ import annotations
+
+import logging
+from typing import Protocol
+
+from masticdeck.events import Code, EventLog
+
+
+class Component(Protocol):
+    """A part of a process with a beginning and an end."""
+
+    async def start(self) -> None:
+        """Acquire what the component needs; called in the order of adding."""
+
+    async def stop(self) -> None:
+        """Release everything; called in the reverse order, once."""
+
+
+class Application:
+    """Life cycle of a process.
+
+    Components start in the order in which they were added and stop in the
+    reverse order. A component that fails to stop is logged, and the others
+    are still stopped.
+    """
+
+    def __init__(self, events: EventLog) -> None:
+        self.events = events
+        self.components: list[Component] = []
+        self.started: list[Component] = []
+
+    def add(self, component: Component) -> None:
+        """Append a component."""
+        self.components.append(component)
+
+    async def start(self) -> None:
+        """Start every component, or stop the started ones and raise."""
+        try:
+            for component in self.components:
+                await component.start()
+                self.started.append(component)
+        except BaseException:
+            await self.stop()
+            raise
+        self.events.emit(Code.PROCESS_STARTED)
+
+    async def stop(self) -> None:
+        """Stop the started components in reverse order."""
+        self.events.emit(Code.PROCESS_STOPPING)
+        while self.started:
+            component = self.started.pop()
+            try:
+                await component.stop()
+            except Exception as error:
+                self.events.emit(
+                    Code.COMPONENT_FAILED,
+                    level=logging.ERROR,
+                    component=type(component).__name__,
+                    error=error,
+                )
+        self.events.emit(Code.PROCESS_STOPPED)
--- /dev/null
+++ b/src/masticdeck/config.py
@@ -0,0 +1,46 @@
+"""Settings of one process, built once at start and passed on."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from masticdeck.ids import EntryId
+
+
+class TlsSettings(BaseModel):
+    """Files of the key, the certificate and the certificate authority (PEM)."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    authority: Path
+    certificate: Path
+    key: Path
+
+
+class Config(BaseModel):
+    """Settings of an entry.
+
+    Times are in seconds unless the name says otherwise. ``policy`` names a
+    registered policy; ``lookup_ttl_s`` is how long callers may keep an answer.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    entry: EntryId
+    deployment: Path
+    blocks: Path | None = None
+    policy: str = "baseline"
+    lookup_ttl_s: Annotated[float, Field(gt=0, le=300)] = 5.0
+    heartbeat_s: Annotated[float, Field(gt=0)] = 1.0
+    lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
+    share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    stop_grace_s: Annotated[float, Field(gt=0)] = 20.0
+    max_header_bytes: Annotated[int, Field(ge=1024)] = 16_384
+    max_order_bytes: Annotated[int, Field(gt=0)] = 1_048_576
+    log_format: Annotated[str, Field(pattern="^(plain|json)$")] = "plain"
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
+    peer_tls: TlsSettings | None = None
+    operator_tokens: Path | None = None
--- /dev/null
+++ b/src/masticdeck/coordination/__init__.py
@@ -0,0 +1,3 @@
+"""Decisions that nodes take together."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/masticdeck/coordination/policy.py
@@ -0,0 +1,139 @@
+"""Which instance serves a call, and when: the registry of policies.
+
+A policy takes slots from a ``SlotSource`` and hands them to calls. The name of
+the policy is a setting; ``baseline`` is the first version, kept for
+comparison: the least loaded instance, first in first out, no ranks.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol, final
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.slots import Slot, SlotSource
+from masticdeck.errors import DeadlinePassed, Overloaded
+from masticdeck.hookspec import hookimpl
+from masticdeck.ids import InstanceId, ServiceId
+from masticdeck.node import Node
+from masticdeck.protocol.call import Call
+from masticdeck.registry import Registry
+
+
+class AttemptEnd(Enum):
+    """How one attempt at an instance ended."""
+
+    ANSWERED = "answered"
+    SHED = "shed"
+    NOT_SENT = "not sent"
+    BROKEN = "broken"
+    CANCELLED = "cancelled"
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class AttemptResult:
+    """Outcome of one attempt; ``seconds`` runs from sending to the last byte."""
+
+    end: AttemptEnd
+    seconds: float
+    status: int = 0
+    bytes: int = 0
+
+
+class Policy(Protocol):
+    """Decides which call gets which slot, and when."""
+
+    async def acquire(self, call: Call, *, avoid: frozenset[InstanceId]) -> Slot:
+        """Return a slot for the call, waiting for one if need be.
+
+        ``avoid`` names instances that earlier attempts at the call met.
+        Raises Overloaded or DeadlinePassed, both true refusals.
+        """
+
+    def release(self, slot: Slot, call: Call, result: AttemptResult) -> None:
+        """Give the slot back and learn from the attempt's result."""
+
+
+policies: Registry[Callable[[Node, SlotSource], Policy]] = Registry("policy")
+
+
+@policies.register("baseline")
+class BaselinePolicy:
+    """Least loaded instance, first in first out, no ranks."""
+
+    def __init__(self, node: Node, slots: SlotSource) -> None:
+        self.node = node
+        self.slots = slots
+        self.waiting: dict[ServiceId, deque[asyncio.Future[Slot]]] = {
+            service.id: deque() for service in node.deployment.services
+        }
+        node.hooks.register(self)
+
+    async def acquire(self, call: Call, *, avoid: frozenset[InstanceId]) -> Slot:
+        """Return a slot of the instance with most free slots."""
+        queue = self.waiting[call.service]
+        slot = None if queue else self.take(call.service)
+        if slot is not None:
+            return slot
+        future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
+        queue.append(future)
+        self.slots.report_waiting(call.service, len(queue))
+        try:
+            async with asyncio.timeout(call.deadline - boottime()):
+                return await future
+        except TimeoutError:
+            raise self.refuse(future) from None
+        except asyncio.CancelledError:
+            self.refuse(future)
+            raise
+        finally:
+            if future in queue:
+                queue.remove(future)
+            self.slots.report_waiting(call.service, len(queue))
+
+    def refuse(self, future: asyncio.Future[Slot]) -> DeadlinePassed | Overloaded:
+        """Return the refusal for a call whose wait ended without a slot."""
+        if future.done() and not future.cancelled():
+            self.slots.give_back(future.result())
+            return DeadlinePassed("while a slot was handed over")
+        return Overloaded("all slots stayed in use", retry_after_s=1.0)
+
+    def take(self, service: ServiceId) -> Slot | None:
+        """Take a slot of the instance with most free slots."""
+        free = self.slots.free(service)
+        if not free:
+            return None
+        return self.slots.take(max(free, key=lambda instance: free[instance]))
+
+    def release(self, slot: Slot, call: Call, result: AttemptResult) -> None:
+        """Give the slot back and hand it to the longest waiting call."""
+        self.slots.give_back(slot)
+        self.dispatch(slot.service)
+
+    def dispatch(self, service: ServiceId) -> None:
+        """Hand free slots to waiting calls."""
+        queue = self.waiting[service]
+        while queue:
+            slot = self.take(service)
+            if slot is None:
+                return
+            self.hand(queue, slot)
+
+    def hand(self, queue: deque[asyncio.Future[Slot]], slot: Slot) -> None:
+        """Give a slot to the first call that still waits."""
+        while queue:
+            future = queue.popleft()
+            if not future.done():
+                future.set_result(slot)
+                return
+        self.slots.give_back(slot)
+
+    @hookimpl
+    def slots_available(self, service: ServiceId) -> None:
+        """Hand newly arrived slots to waiting calls."""
+        self.dispatch(service)
--- /dev/null
+++ b/src/masticdeck/entry/app.py
@@ -0,0 +1,62 @@
+"""Builds the application of an entry from its settings."""
+
+from __future__ import annotations
+
+import time
+
+from masticdeck.application import Application
+from masticdeck.clock import HybridClock
+from masticdeck.config import Config
+from masticdeck.coordination.policy import policies
+from masticdeck.coordination.slots import StaticSlots
+from masticdeck.entry.forward import Forwarder
+from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.server import EntryServer
+from masticdeck.errors import SettingsInvalid
+from masticdeck.events import EventLog
+from masticdeck.hookspec import create_hooks
+from masticdeck.ids import Incarnation
+from masticdeck.node import Node
+from masticdeck.protocol.backend import Backends
+from masticdeck.protocol.store import HttpStore
+from masticdeck.protocol.vms import HttpVmList
+from masticdeck.state.deployment import load_deployment
+from masticdeck.transport.peers import PeerChannels, PeerServer
+
+
+def build_entry(config: Config) -> Application:
+    """Return the application of an entry, not yet started."""
+    deployment = load_deployment(config.deployment)
+    if config.entry not in deployment.entry_by_id:
+        raise SettingsInvalid(f"entry {config.entry!r} is not in {config.deployment}")
+    clock = HybridClock()
+    events = EventLog(config.entry, clock)
+    store = HttpStore(deployment.platform.url)
+    vms = HttpVmList(deployment.platform.url)
+    peers = PeerChannels(deployment)
+    node = Node(
+        config=config,
+        deployment=deployment,
+        incarnation=Incarnation(time.time_ns()),
+        clock=clock,
+        events=events,
+        hooks=create_hooks(),
+        store=store,
+        vms=vms,
+        peers=peers,
+    )
+    slots = StaticSlots(deployment, node.id)
+    policy = policies.get(config.policy)(node, slots)
+    backends = Backends(deployment)
+    server = EntryServer(node, Lookup(node), Forwarder(node, policy, backends))
+    application = Application(events)
+    for component in (
+        store,
+        vms,
+        peers,
+        PeerServer(node.entry.host, node.entry.peer_port, []),
+        backends,
+        server,
+    ):
+        application.add(component)
+    return application
--- /dev/null
+++ b/src/masticdeck/entry/forward.py
@@ -0,0 +1,222 @@
+"""Forwarding of callers' requests to backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import time
+
+from aiohttp import ClientError, ClientResponse, web
+from multidict import CIMultiDict
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
+from masticdeck.coordination.slots import Slot
+from masticdeck.errors import (
+    DeadlinePassed,
+    MasticdeckError,
+    OutcomeUnknown,
+    RequestInvalid,
+    ServiceUnknown,
+)
+from masticdeck.ids import CustomerId, InstanceId, Outcome, RequestId, ServiceId
+from masticdeck.node import Node
+from masticdeck.protocol import headers
+from masticdeck.protocol.backend import BackendBroken, BackendNotReached, Backends
+from masticdeck.protocol.call import Call
+
+SERVICE_PREFIX = "/service/"
+MAX_TIMEOUT_MS = 120_000
+SMALL_ANSWER_BYTES = 65_536
+MAX_ATTEMPTS = 2
+
+
+class Forwarder:
+    """Takes a caller's request to an instance and the answer back."""
+
+    def __init__(self, node: Node, policy: Policy, backends: Backends) -> None:
+        self.node = node
+        self.policy = policy
+        self.backends = backends
+        self.sequence = 0
+        self.in_flight = 0
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request under ``/service/``."""
+        self.in_flight += 1
+        try:
+            call = self.parse(request)
+            return await self.attempt(request, call)
+        except MasticdeckError as error:
+            return error_response(error)
+        finally:
+            self.in_flight -= 1
+
+    def parse(self, request: web.BaseRequest) -> Call:
+        """Return the call that a request asks for."""
+        service_text, _, rest = request.raw_path[len(SERVICE_PREFIX) :].partition("/")
+        service = self.node.deployment.service_by_id.get(ServiceId(service_text))
+        if service is None:
+            raise ServiceUnknown(repr(service_text[:64]))
+        fields = request.headers
+        rank = headers.parse_priority(fields.get(headers.PRIORITY, "")) or service.rank
+        wait_ms = parse_timeout(fields.get(headers.TIMEOUT_MS))
+        if wait_ms is None:
+            wait_ms = service.agreed_wait_ms[rank]
+        self.sequence += 1
+        customer = fields.get(headers.CUSTOMER)
+        return Call(
+            id=RequestId(f"{self.node.id}-{self.node.incarnation:x}-{self.sequence}"),
+            service=service.id,
+            method=request.method,
+            path=f"/{rest}",
+            rank=rank,
+            deadline=boottime() + wait_ms / 1000,
+            customer=None if customer is None else CustomerId(customer),
+            idempotency_key=fields.get(headers.IDEMPOTENCY_KEY),
+        )
+
+    async def attempt(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
+        """Try instances until one answers or no further try is allowed."""
+        tried: frozenset[InstanceId] = frozenset()
+        while True:
+            slot = await self.policy.acquire(call, avoid=tried)
+            try:
+                return await self.send(request, call, slot)
+            except (BackendNotReached, BackendBroken) as error:
+                tried |= {slot.instance}
+                if len(tried) >= MAX_ATTEMPTS or not may_retry(request, call, error):
+                    raise
+
+    async def send(
+        self, request: web.BaseRequest, call: Call, slot: Slot
+    ) -> web.StreamResponse:
+        """Send the request with a slot held, and pass the answer on."""
+        began = time.perf_counter()
+        end = AttemptEnd.CANCELLED
+        status = 0
+        try:
+            async with asyncio.timeout(call.deadline - boottime()):
+                body = request.content if request.body_exists else None
+                answer = await self.backends.send(
+                    slot.instance, call, forward_fields(request, call), body
+                )
+                status = answer.status
+                if is_shed(answer):
+                    end = AttemptEnd.SHED
+                    answer.release()
+                    raise BackendNotReached(f"{slot.instance} shed the request")
+                response = await self.pass_on(request, answer, slot)
+                end = AttemptEnd.ANSWERED
+                return response
+        except BackendNotReached:
+            end = AttemptEnd.SHED if end is AttemptEnd.SHED else AttemptEnd.NOT_SENT
+            raise
+        except BackendBroken:
+            end = AttemptEnd.BROKEN
+            raise
+        except TimeoutError:
+            end = AttemptEnd.BROKEN
+            raise OutcomeUnknown("the deadline passed while the request ran") from None
+        finally:
+            seconds = time.perf_counter() - began
+            result = AttemptResult(end=end, seconds=seconds, status=status)
+            self.policy.release(slot, call, result)
+
+    async def pass_on(
+        self, request: web.BaseRequest, answer: ClientResponse, slot: Slot
+    ) -> web.StreamResponse:
+        """Copy a backend's answer to the caller without buffering large bodies."""
+        fields = CIMultiDict(
+            (name, value)
+            for name, value in answer.headers.items()
+            if name.lower() not in headers.HOP_BY_HOP
+        )
+        fields[headers.INSTANCE] = slot.instance
+        length = answer.content_length
+        if length is not None and length <= SMALL_ANSWER_BYTES:
+            return await self.pass_small(answer, fields)
+        response = web.StreamResponse(status=answer.status, headers=fields)
+        await response.prepare(request)
+        try:
+            async for chunk in answer.content.iter_any():
+                await response.write(chunk)
+            await response.write_eof()
+        except BaseException:
+            answer.close()
+            if request.transport is not None:
+                request.transport.abort()
+            raise
+        return response
+
+    async def pass_small(
+        self, answer: ClientResponse, fields: CIMultiDict[str]
+    ) -> web.Response:
+        """Read a small answer whole and return it in one piece."""
+        try:
+            body = await answer.read()
+        except (ClientError, OSError) as error:
+            raise BackendBroken(type(error).__name__) from error
+        fields.popall("Content-Length", None)
+        return web.Response(status=answer.status, body=body, headers=fields)
+
+
+def parse_timeout(value: str | None) -> float | None:
+    """Return a timeout header in milliseconds, or None when it is absent."""
+    if value is None:
+        return None
+    if not value.isascii() or not value.isdigit() or len(value) > 9:
+        raise RequestInvalid(f"{headers.TIMEOUT_MS} is not a number of milliseconds")
+    if int(value) == 0:
+        raise DeadlinePassed()
+    return float(min(int(value), MAX_TIMEOUT_MS))
+
+
+def is_shed(answer: ClientResponse) -> bool:
+    """Return whether the backend vouches that it did not run the request."""
+    return answer.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value
+
+
+def may_retry(request: web.BaseRequest, call: Call, error: MasticdeckError) -> bool:
+    """Return whether another attempt is safe and the body is still unread."""
+    if request.body_exists:
+        return False
+    return call.idempotent or error.outcome is Outcome.NOT_RUN
+
+
+def forward_fields(request: web.BaseRequest, call: Call) -> CIMultiDict[str]:
+    """Return the request's end-to-end headers."""
+    named = {
+        name.strip().lower()
+        for name in request.headers.get("Connection", "").split(",")
+    }
+    skip = headers.HOP_BY_HOP | named | {"host", "expect"}
+    fields = CIMultiDict(
+        (name, value)
+        for name, value in request.headers.items()
+        if name.lower() not in skip
+    )
+    fields[headers.REQUEST_ID] = call.id
+    return fields
+
+
+def error_response(error: MasticdeckError) -> web.Response:
+    """Return a problem document (RFC 9457) for an error."""
+    problem = {
+        "type": "about:blank",
+        "title": error.title,
+        "status": error.status,
+        "detail": str(error),
+        "code": error.code,
+    }
+    fields = {}
+    if error.outcome is not None:
+        fields[headers.OUTCOME] = error.outcome.value
+    if error.retry_after_s is not None:
+        fields[headers.RETRY_AFTER] = str(max(1, round(error.retry_after_s)))
+    return web.Response(
+        status=error.status,
+        body=json.dumps(problem).encode(),
+        content_type="application/problem+json",
+        headers=fields,
+    )
--- /dev/null
+++ b/src/masticdeck/entry/server.py
@@ -0,0 +1,51 @@
+"""The HTTP server that callers talk to."""
+
+from __future__ import annotations
+
+from aiohttp import web
+
+from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder, error_response
+from masticdeck.entry.lookup import Lookup
+from masticdeck.errors import RequestInvalid
+from masticdeck.node import Node
+
+
+class EntryServer:
+    """Listens on the entry's address and dispatches by path."""
+
+    def __init__(self, node: Node, lookup: Lookup, forwarder: Forwarder) -> None:
+        self.node = node
+        self.lookup = lookup
+        self.forwarder = forwarder
+        self.runner: web.ServerRunner | None = None
+
+    async def start(self) -> None:
+        """Start to listen."""
+        limit = self.node.config.max_header_bytes
+        server = web.Server(
+            self.handle,
+            access_log=None,
+            max_line_size=limit,
+            max_field_size=limit,
+            handler_cancellation=True,
+        )
+        self.runner = web.ServerRunner(server, shutdown_timeout=1.0)
+        await self.runner.setup()
+        entry = self.node.entry
+        await web.TCPSite(self.runner, entry.host, entry.http_port).start()
+
+    async def stop(self) -> None:
+        """Stop listening and close the connections."""
+        if self.runner is not None:
+            await self.runner.cleanup()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Dispatch one request."""
+        path = request.path
+        if path.startswith(SERVICE_PREFIX):
+            return await self.forwarder.handle(request)
+        if path == "/lookup":
+            return await self.lookup.handle(request)
+        if path == "/-/ready":
+            return web.Response(text="ready\n")
+        return error_response(RequestInvalid(f"no such path {path[:64]!r}"))
--- /dev/null
+++ b/src/masticdeck/events.py
@@ -0,0 +1,78 @@
+"""Numbered events: the catalogue, a bounded ring per process, and logging.
+
+Every event has a code in ``Code``; ``EventLog.emit`` stamps it with the hybrid
+clock, keeps it in the ring and writes it through ``logging``. Subjects such as
+``request``, ``proposal``, ``instance`` and ``zone`` are keyword fields, so that
+the time line can filter on them.
+"""
+
+from __future__ import annotations
+
+import logging
+from collections import deque
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import final
+
+from masticdeck.clock import HybridClock
+
+logger = logging.getLogger("masticdeck")
+
+RING_EVENTS = 20_000
+
+
+class Code(Enum):
+    """Event numbers with their meaning; documented in ``docs/EVENTS.md``.
+
+    Ranges: 1xx process, 2xx membership, 3xx configuration, 4xx shares,
+    5xx requests, 6xx orders, 7xx drains, 8xx shifts, 9xx platform.
+    """
+
+    PROCESS_STARTED = 100
+    PROCESS_STOPPING = 101
+    PROCESS_STOPPED = 102
+    COMPONENT_FAILED = 103
+    REQUEST_RECEIVED = 500
+    REQUEST_SENT = 501
+    REQUEST_ANSWERED = 502
+    REQUEST_REFUSED = 503
+    REQUEST_UNKNOWN = 504
+    STORE_UNAVAILABLE = 900
+    STORE_AVAILABLE = 901
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Event:
+    """One thing that happened in one process at one hybrid stamp."""
+
+    stamp: int
+    process: str
+    code: Code
+    fields: dict[str, str] = field(default_factory=dict)
+
+
+class EventLog:
+    """Ring of the process's latest events, newest last."""
+
+    def __init__(
+        self, process: str, clock: HybridClock, *, capacity: int = RING_EVENTS
+    ) -> None:
+        self.process = process
+        self.clock = clock
+        self.ring: deque[Event] = deque(maxlen=capacity)
+
+    def emit(self, code: Code, *, level: int = logging.INFO, **fields: object) -> Event:
+        """Record an event with string-valued subjects and log it."""
+        texts = {name: str(value) for name, value in fields.items()}
+        event = Event(self.clock.stamp(), self.process, code, texts)
+        self.ring.append(event)
+        if logger.isEnabledFor(level):
+            logger.log(
+                level,
+                "%s %s",
+                code.name.lower(),
+                " ".join(f"{name}={value}" for name, value in texts.items()),
+                extra={"event": code.value, "fields": texts, "stamp": event.stamp},
+            )
+        return event
--- /dev/null
+++ b/src/masticdeck/programs/__init__.py
@@ -0,0 +1,3 @@
+"""The command-line programs."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/masticdeck/programs/runtime.py
@@ -0,0 +1,70 @@
+"""What every program does before and around its event loop.
+
+``disable_io_uring`` runs on import, before any loop exists: uvloop below 0.23
+opens no io_uring ring when UV_USE_IO_URING is 0 at its first loop.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import os
+import signal
+import sys
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from masticdeck.application import Application
+from masticdeck.errors import MasticdeckError
+
+EXIT_OK = 0
+EXIT_FAILED = 1
+EXIT_USAGE = 2
+
+
+def disable_io_uring() -> None:
+    """Set the variable that keeps uvloop from opening an io_uring ring."""
+    os.environ["UV_USE_IO_URING"] = "0"
+
+
+disable_io_uring()
+
+
+def run(main: Callable[[], Awaitable[int]]) -> int:
+    """Run a coroutine on uvloop and return its exit status.
+
+    A MasticdeckError becomes one line on standard error and status 1.
+    """
+    import uvloop
+
+    async def body() -> int:
+        return await main()
+
+    try:
+        return uvloop.run(body())
+    except MasticdeckError as error:
+        print(error, file=sys.stderr)
+        return EXIT_FAILED
+    except KeyboardInterrupt:
+        return EXIT_FAILED
+
+
+async def serve(application: Application) -> int:
+    """Start an application, wait for SIGTERM or SIGINT, and stop it."""
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    await application.start()
+    await stopping.wait()
+    await application.stop()
+    return EXIT_OK
+
+
+def configure_logging(*, style: str, level: str) -> None:
+    """Send log records to standard error, plain or as JSON."""
+    from aiomisc.log import LogFormat, basic_config
+
+    formats: dict[str, Any] = {"plain": LogFormat.plain, "json": LogFormat.json}
+    basic_config(level=level, log_format=formats[style], buffered=False)
+    logging.getLogger("aiohttp").setLevel(logging.WARNING)
--- /dev/null
+++ b/src/masticdeck/protocol/store.py
@@ -0,0 +1,230 @@
+"""Client of the platform's key-value service, behind one narrow interface.
+
+``Store`` is what the rest of the code uses; ``HttpStore`` is the only module
+that knows the wire format. A write whose answer was lost raises
+StoreUnavailable although it may have taken effect: callers read back.
+"""
+
+from __future__ import annotations
+
+import base64
+import json
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any, NewType, Protocol, final
+
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from masticdeck.errors import StoreAnswerInvalid, StoreConflict, StoreUnavailable
+from masticdeck.ids import Revision
+
+LeaseId = NewType("LeaseId", str)
+
+ABSENT = Revision(0)
+CALL_TIMEOUT_S = 2.0
+MAX_VALUE_BYTES = 1_048_576
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class KeyValue:
+    """A key with its value and the revision of its last modification."""
+
+    key: str
+    value: bytes
+    revision: Revision
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Change:
+    """One change seen by a watch; ``value`` is None when the key was deleted."""
+
+    key: str
+    value: bytes | None
+    revision: Revision
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Changes:
+    """Answer of a watch: the changes, and the revision to watch on from."""
+
+    changes: tuple[Change, ...]
+    revision: Revision
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class Listing:
+    """All keys below a prefix at one revision of the store."""
+
+    items: tuple[KeyValue, ...]
+    revision: Revision
+
+
+class Store(Protocol):
+    """Compare-and-swap, leases and watches.
+
+    Every method raises StoreUnavailable when no answer came in time.
+    """
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the key's value, or None when it is absent."""
+
+    async def list(self, prefix: str) -> Listing:
+        """Return every key below a prefix."""
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expect: Revision | None = None,
+        lease: LeaseId | None = None,
+    ) -> Revision:
+        """Write a key and return its new revision.
+
+        ``expect`` is the revision the key must have now, ``ABSENT`` for a key
+        that must not exist, None for an unconditional write. A key bound to a
+        lease is deleted when the lease ends. Raises StoreConflict.
+        """
+
+    async def delete(self, key: str, *, expect: Revision | None = None) -> None:
+        """Delete a key; raises StoreConflict when ``expect`` does not match."""
+
+    async def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Create a lease that ends ``ttl_s`` seconds after its last renewal."""
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Extend a lease; raises StoreConflict when it has already ended."""
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete its keys."""
+
+    async def watch(self, prefix: str, after: Revision, *, wait_s: float) -> Changes:
+        """Wait up to ``wait_s`` for changes below a prefix past a revision."""
+
+
+class HttpStore:
+    """The store over HTTP with JSON bodies."""
+
+    def __init__(self, url: str, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
+        self.url = url
+        self.timeout_s = timeout_s
+        self.session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP session."""
+        self.session = ClientSession()
+
+    async def stop(self) -> None:
+        """Close the HTTP session."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the key's value, or None when it is absent."""
+        answer = await self.call("get", {"key": key})
+        return _decode_item(answer["item"]) if answer.get("item") else None
+
+    async def list(self, prefix: str) -> Listing:
+        """Return every key below a prefix."""
+        answer = await self.call("list", {"prefix": prefix})
+        items = tuple(_decode_item(item) for item in answer["items"])
+        return Listing(items, Revision(int(answer["revision"])))
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expect: Revision | None = None,
+        lease: LeaseId | None = None,
+    ) -> Revision:
+        """Write a key and return its new revision."""
+        text = base64.b64encode(value).decode("ascii")
+        body = {"key": key, "value": text, "expect": expect, "lease": lease}
+        return Revision(int((await self.call("put", body))["revision"]))
+
+    async def delete(self, key: str, *, expect: Revision | None = None) -> None:
+        """Delete a key."""
+        await self.call("delete", {"key": key, "expect": expect})
+
+    async def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Create a lease."""
+        return LeaseId(str((await self.call("lease/grant", {"ttl_s": ttl_s}))["lease"]))
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Extend a lease."""
+        await self.call("lease/renew", {"lease": lease})
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease."""
+        await self.call("lease/revoke", {"lease": lease})
+
+    async def watch(self, prefix: str, after: Revision, *, wait_s: float) -> Changes:
+        """Wait for changes below a prefix."""
+        body = {"prefix": prefix, "after": after, "wait_s": wait_s}
+        answer = await self.call("watch", body, timeout_s=wait_s + self.timeout_s)
+        changes = tuple(_decode_change(item) for item in answer["changes"])
+        return Changes(changes, Revision(int(answer["revision"])))
+
+    async def call(
+        self, method: str, body: Mapping[str, Any], *, timeout_s: float | None = None
+    ) -> Any:
+        """Send one call and return the decoded answer."""
+        if self.session is None:
+            raise StoreUnavailable("the store client is not started")
+        timeout = ClientTimeout(total=timeout_s or self.timeout_s)
+        try:
+            async with self.session.post(
+                f"{self.url}/v1/{method}", json=body, timeout=timeout
+            ) as response:
+                text = await response.text()
+                status = response.status
+        except (TimeoutError, ClientError, OSError, UnicodeDecodeError) as error:
+            raise StoreUnavailable(f"{method}: {type(error).__name__}") from error
+        return _decode_answer(method, status, text)
+
+
+def _decode_answer(method: str, status: int, text: str) -> Any:
+    if status == StoreConflict.status:
+        raise StoreConflict(f"{method}: {text[:200]}")
+    if status >= 500:
+        raise StoreUnavailable(f"{method}: status {status}")
+    try:
+        answer = json.loads(text)
+    except ValueError:
+        raise StoreAnswerInvalid(f"{method}: not JSON") from None
+    if status != 200 or not isinstance(answer, dict):
+        raise StoreAnswerInvalid(f"{method}: status {status}")
+    return _Answer(method, answer)
+
+
+class _Answer(dict[str, Any]):
+    """Answer whose missing fields raise StoreAnswerInvalid."""
+
+    def __init__(self, method: str, fields: dict[str, Any]) -> None:
+        super().__init__(fields)
+        self.method = method
+
+    def __missing__(self, name: str) -> Any:
+        raise StoreAnswerInvalid(f"{self.method}: field {name!r} is missing")
+
+
+def _decode_item(item: Mapping[str, Any]) -> KeyValue:
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+        return KeyValue(str(item["key"]), value, Revision(int(item["revision"])))
+    except (KeyError, TypeError, ValueError):
+        raise StoreAnswerInvalid("an item lacks key, value or revision") from None
+
+
+def _decode_change(item: Mapping[str, Any]) -> Change:
+    try:
+        raw = item["value"]
+        value = None if raw is None else base64.b64decode(raw, validate=True)
+        return Change(str(item["key"]), value, Revision(int(item["revision"])))
+    except (KeyError, TypeError, ValueError):
+        raise StoreAnswerInvalid("a change lacks key, value or revision") from None
--- /dev/null
+++ b/src/masticdeck/state/__init__.py
@@ -0,0 +1,3 @@
+"""Immutable values and tables that describe what is known and agreed."""
+
+from __future__ import annotations
--- /dev/null
+++ b/src/masticdeck/transport/__init__.py
@@ -0,0 +1,3 @@
+"""Connections, TLS and servers."""
+
+from __future__ import annotations
