Add membership by heartbeat streams and ownership by store leases

Cause: nodes had no view of each other, and no work could have one doer. Conclusion: other components can build on Membership and Ownership.

--- /dev/null
+++ b/src/masticdeck/coordination/ownership.py
@@ -0,0 +1,303 @@
+"""Work that needs one doer: an owner by a store lease, with a fencing token.
+
+An owner is the entry whose key ``owner/<name>`` exists in the platform's
+store, bound to a lease. The key's revision is the fencing token: a later
+owner's key always has a larger revision. Receivers refuse lower tokens by a
+``Fence``.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+from collections.abc import Sequence
+from contextlib import suppress
+
+import xxhash
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.membership import Membership
+from masticdeck.errors import MasticdeckError, StoreConflict, StoreUnavailable
+from masticdeck.events import Code
+from masticdeck.ids import EntryId, FencingToken, RegionId
+from masticdeck.node import Node
+from masticdeck.protocol.store import ABSENT, LeaseId
+
+CANDIDATES = 3
+RENEWALS_PER_TTL = 3
+DRIFT_PART = 0.02
+DRIFT_MIN_S = 0.1
+STAGGER_S = 0.3
+WATCH_WAIT_S = 15.0
+IDLE_POLL_S = 1.0
+RETRY_S = 0.25
+REVOKE_TIMEOUT_S = 1.0
+FRESH_FAILURE_S = 3.0
+
+
+def rendezvous_order(name: str, entries: Sequence[EntryId]) -> list[EntryId]:
+    """Return the entries by descending rendezvous hash with a name.
+
+    Removing an entry changes the order of no other two, so that few owners
+    move when the fleet changes.
+
+    >>> order = rendezvous_order("region/east", [EntryId("a"), EntryId("b")])
+    >>> sorted(order)
+    ['a', 'b']
+    """
+    return sorted(
+        entries,
+        key=lambda entry: xxhash.xxh64_intdigest(f"{name}/{entry}".encode()),
+        reverse=True,
+    )
+
+
+class Fence:
+    """Highest fencing token seen by name; refuses lower ones.
+
+    >>> fence = Fence()
+    >>> fence.accept("region/east", FencingToken(7))
+    True
+    >>> fence.accept("region/east", FencingToken(6))
+    False
+    """
+
+    def __init__(self) -> None:
+        self.highest: dict[str, FencingToken] = {}
+
+    def accept(self, name: str, token: FencingToken) -> bool:
+        """Return whether a token is at least the highest seen, and keep it."""
+        if token < self.highest.get(name, 0):
+            return False
+        self.highest[name] = token
+        return True
+
+
+class Ownership:
+    """This node's part in finding and being the owner of one name.
+
+    ``token`` is this node's fencing token, or 0 when it does not hold the
+    key. ``owner`` is the holder as last read from the store; only the first
+    few candidates read it. With ``region``, entries of that region come
+    first among the candidates. ``valid`` must be asked right before each act
+    and again after each wait.
+
+    >>> ownership = Ownership(node, "region/east", ttl_s=3.0)  # doctest: +SKIP
+    >>> await ownership.start()                                # doctest: +SKIP
+    >>> if ownership.valid():                                  # doctest: +SKIP
+    ...     act(ownership.token)
+    """
+
+    def __init__(
+        self,
+        node: Node,
+        name: str,
+        *,
+        ttl_s: float | None = None,
+        membership: Membership | None = None,
+        region: RegionId | None = None,
+    ) -> None:
+        self.node = node
+        self.name = name
+        self.key = f"owner/{name}"
+        self.ttl_s = node.config.lease_ttl_s if ttl_s is None else ttl_s
+        self.membership = membership
+        self.region = region
+        self.token = FencingToken(0)
+        self.owner: EntryId | None = None
+        self.lease: LeaseId | None = None
+        self.valid_until = 0.0
+        self.attempts = 0
+        self.attempt_value = b""
+        self.attempt_began = 0.0
+        self.attempt_lease: LeaseId | None = None
+        self.failed_at = 0.0
+        self.failed_began = 0.0
+        self.watch_after = ABSENT
+        self.task: asyncio.Task[None] | None = None
+
+    @property
+    def margin_s(self) -> float:
+        """Return what is subtracted from the lease for the drift of clocks."""
+        return max(DRIFT_MIN_S, self.ttl_s * DRIFT_PART)
+
+    def valid(self) -> bool:
+        """Return whether this node owns the name at this moment."""
+        return self.token != 0 and boottime() < self.valid_until
+
+    def outlasts_store(self, bound_s: float) -> bool:
+        """Return whether a lapsed lease may be relied on in a store outage.
+
+        True while the key was last known to be this node's, a call that began
+        after the lease lapsed has just failed, and the lease lapsed less than
+        ``bound_s`` ago. A process that wakes from a pause thus asks the store
+        before it relies on this.
+        """
+        now = boottime()
+        return (
+            self.token != 0
+            and self.failed_began > self.valid_until
+            and now - self.failed_at < FRESH_FAILURE_S
+            and now - self.valid_until < bound_s
+        )
+
+    @property
+    def store_failing(self) -> bool:
+        """Return whether the latest call to the store got no answer."""
+        return self.failed_at > 0.0
+
+    def candidates(self) -> list[EntryId]:
+        """Return the live entries in the order in which they try."""
+        if self.membership is None:
+            return [self.node.id]
+        live = self.membership.alive()
+        order = rendezvous_order(self.name, live)
+        if self.region is None:
+            return order
+        deployment = self.node.deployment
+        near = {
+            entry.id
+            for entry in deployment.entries
+            if deployment.region_of[entry.zone] == self.region
+        }
+        return sorted(order, key=lambda entry: entry not in near)
+
+    async def start(self) -> None:
+        """Begin to compete for the name."""
+        self.task = asyncio.create_task(self.run(), name=f"ownership {self.name}")
+
+    async def stop(self) -> None:
+        """Give the name up, so that another entry takes it at once."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.wait([self.task])
+        lease = self.lease
+        self.lose()
+        if lease is not None:
+            with suppress(MasticdeckError, TimeoutError):
+                async with asyncio.timeout(REVOKE_TIMEOUT_S):
+                    await self.node.store.revoke_lease(lease)
+
+    async def run(self) -> None:
+        """Hold the name or wait for it, for ever."""
+        while True:
+            began = boottime()
+            try:
+                delay = await (self.renew() if self.token else self.compete())
+                self.failed_at = 0.0
+            except StoreUnavailable:
+                self.failed_at = boottime()
+                self.failed_began = began
+                delay = RETRY_S
+            except StoreConflict:
+                delay = RETRY_S
+            except MasticdeckError as error:
+                self.node.events.emit(
+                    Code.OWNER_STORE_ERROR,
+                    level=logging.WARNING,
+                    name=self.name,
+                    error=error,
+                )
+                delay = RETRY_S
+            await asyncio.sleep(delay)
+
+    async def renew(self) -> float:
+        """Extend the lease and return the seconds until the next renewal."""
+        began = boottime()
+        lease = self.lease
+        assert lease is not None
+        try:
+            await self.node.store.renew_lease(lease)
+        except StoreConflict:
+            self.lose()
+            raise
+        self.valid_until = began + self.ttl_s - self.margin_s
+        return max(0.0, self.ttl_s / RENEWALS_PER_TTL - (boottime() - began))
+
+    async def compete(self) -> float:
+        """Read the key, then take it, watch it or leave it to others."""
+        order = self.candidates()
+        rank = order.index(self.node.id) if self.node.id in order else CANDIDATES
+        if rank >= CANDIDATES:
+            return IDLE_POLL_S
+        if await self.read():
+            return 0.0
+        if self.owner is not None:
+            return 0.0 if await self.watch() else RETRY_S
+        if rank:
+            await asyncio.sleep(rank * STAGGER_S)
+            if await self.read() or self.owner is not None:
+                return 0.0
+        await self.acquire()
+        return self.ttl_s / RENEWALS_PER_TTL
+
+    async def read(self) -> bool:
+        """Read who holds the key; return whether a lost write had made it ours."""
+        item = await self.node.store.get(self.key)
+        if item is None:
+            self.see_owner(None)
+            return False
+        self.watch_after = item.revision
+        if self.attempt_value and item.value == self.attempt_value:
+            self.adopt(FencingToken(item.revision))
+            return True
+        self.see_owner(EntryId(json.loads(item.value)["entry"]))
+        return False
+
+    async def watch(self) -> bool:
+        """Wait for a change of the key and return whether there was one."""
+        changes = await self.node.store.watch(
+            self.key, self.watch_after, wait_s=WATCH_WAIT_S
+        )
+        return bool(changes.changes)
+
+    async def acquire(self) -> None:
+        """Create the key under a new lease."""
+        self.attempts += 1
+        self.attempt_began = boottime()
+        document = {
+            "entry": self.node.id,
+            "incarnation": self.node.incarnation,
+            "attempt": self.attempts,
+        }
+        lease = await self.node.store.grant_lease(self.ttl_s)
+        self.attempt_lease = lease
+        self.attempt_value = json.dumps(document).encode()
+        revision = await self.node.store.put(
+            self.key, self.attempt_value, expect=ABSENT, lease=lease
+        )
+        self.adopt(FencingToken(revision))
+
+    def adopt(self, token: FencingToken) -> None:
+        """Become the owner by the attempt whose write is in the store."""
+        self.token = token
+        self.lease = self.attempt_lease
+        self.valid_until = self.attempt_began + self.ttl_s - self.margin_s
+        self.attempt_value = b""
+        self.owner = self.node.id
+        self.node.events.emit(Code.OWNER_ACQUIRED, name=self.name, token=token)
+        self.announce()
+
+    def lose(self) -> None:
+        """Forget the key after the store said that the lease has ended."""
+        if not self.token:
+            return
+        self.node.events.emit(Code.OWNER_LOST, name=self.name, token=self.token)
+        self.token = FencingToken(0)
+        self.lease = None
+        self.owner = None
+        self.valid_until = 0.0
+        self.announce()
+
+    def see_owner(self, owner: EntryId | None) -> None:
+        """Keep who holds the key and tell when it has changed."""
+        if owner != self.owner:
+            self.owner = owner
+            self.announce()
+
+    def announce(self) -> None:
+        """Call the hook with what is known now."""
+        self.node.hooks.hook.ownership_changed(
+            name=self.name, owner=self.owner, token=self.token
+        )
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -7,6 +7,7 @@
 from masticdeck.application import Application
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.slots import StaticSlots
 from masticdeck.entry.forward import Forwarder
@@ -45,6 +46,7 @@
         vms=vms,
         peers=peers,
     )
+    membership = Membership(node)
     slots = StaticSlots(deployment, node.id)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
@@ -54,7 +56,8 @@
         store,
         vms,
         peers,
-        PeerServer(node.entry.host, node.entry.peer_port, []),
+        PeerServer(node.entry.host, node.entry.peer_port, [membership.links]),
+        membership,
         backends,
         server,
     ):
--- a/src/masticdeck/hookspec.py
+++ b/src/masticdeck/hookspec.py
@@ -20,7 +20,14 @@
 import pluggy
 
 if TYPE_CHECKING:
-    from masticdeck.ids import EntryId, InstanceId, MemberState, ServiceId, Version
+    from masticdeck.ids import (
+        EntryId,
+        FencingToken,
+        InstanceId,
+        MemberState,
+        ServiceId,
+        Version,
+    )
     from masticdeck.state.lists import Configuration
 
 PROJECT = "masticdeck"
@@ -39,6 +46,12 @@
     def member_changed(self, entry: EntryId, state: MemberState) -> None:
         """Tell that this node's view of another entry changed."""
 
+    @hookspec
+    def ownership_changed(
+        self, name: str, owner: EntryId | None, token: FencingToken
+    ) -> None:
+        """Tell who owns a name; ``token`` is 0 unless it is this node."""
+
     @hookspec
     def instance_leaving(self, instance: InstanceId, source: str) -> None:
         """Tell that a backend instance must get no new work."""
--- /dev/null
+++ b/testing/__init__.py
@@ -0,0 +1,3 @@
+"""The tests."""
+
+from __future__ import annotations
--- /dev/null
+++ b/testing/coordination/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of coordination."""
+
+from __future__ import annotations
