--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -40,6 +40,9 @@
     stop_grace_s: Annotated[float, Field(gt=0)] = 20.0
     max_header_bytes: Annotated[int, Field(ge=1024)] = 16_384
     max_order_bytes: Annotated[int, Field(gt=0)] = 1_048_576
+    order_retention_s: Annotated[float, Field(gt=0)] = 600.0
+    order_records: Annotated[int, Field(gt=0)] = 40_000
+    order_record_bytes: Annotated[int, Field(gt=0)] = 33_554_432
     log_format: Annotated[str, Field(pattern="^(plain|json)$")] = "plain"
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
     peer_tls: TlsSettings | None = None
