--- /dev/null
+++ b/src/masticdeck/coordination/order_home.py
@@ -0,0 +1,109 @@
+"""The home's side of orders: which keys may still begin to run here."""
+
+from __future__ import annotations
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.order_errors import (
+    OrderExpired,
+    OrderKeyInvalid,
+    OrderNotRun,
+)
+from masticdeck.coordination.order_records import OrderRecord, OrderTable
+from masticdeck.coordination.order_tokens import NO_WITNESS, HomeToken
+from masticdeck.ids import EntryId, Incarnation
+from masticdeck.node import Node
+
+GENERATION_S = 60.0
+RUNNABLE_PART = 0.5
+FULL_RETRY_S = 5.0
+
+
+class Home:
+    """Orders whose key names this entry in this incarnation.
+
+    A token may begin orders for half of the retention; the records outlive
+    that by the other half. Every refusal as "not run" leaves a record or
+    closes the key's generation, so that the key can't run later either.
+    """
+
+    def __init__(self, node: Node) -> None:
+        self.node = node
+        self.table = OrderTable(
+            max_records=node.config.order_records,
+            max_bytes=node.config.order_record_bytes,
+        )
+        self.witness = NO_WITNESS
+        self.witness_incarnation = Incarnation(0)
+        self.generation = 1
+        self.started = {1: boottime()}
+        self.closed = False
+
+    @property
+    def token(self) -> HomeToken:
+        """Return the token that look-up answers carry now."""
+        return HomeToken(
+            home=self.node.id,
+            home_incarnation=self.node.incarnation,
+            witness=self.witness,
+            witness_incarnation=self.witness_incarnation,
+            generation=self.generation,
+        )
+
+    def choose(self, witness: EntryId, incarnation: Incarnation) -> None:
+        """Name another witness in the tokens given from now on."""
+        self.witness = witness
+        self.witness_incarnation = incarnation
+        self.rotate()
+
+    def rotate(self) -> None:
+        """Begin another generation of tokens."""
+        self.generation += 1
+        self.started[self.generation] = boottime()
+
+    def maintain(self) -> None:
+        """Rotate and close generations by age, and drop old records."""
+        now = boottime()
+        if now - self.started[self.generation] >= GENERATION_S:
+            self.rotate()
+        retention_s = self.node.config.order_retention_s
+        for generation, started in list(self.started.items()):
+            if generation < self.generation and (
+                now - started > retention_s * RUNNABLE_PART
+            ):
+                del self.started[generation]
+                self.table.closed_through = max(self.table.closed_through, generation)
+        self.table.expire(retention_s)
+
+    def begin(
+        self, token: HomeToken, key: str, digest: bytes
+    ) -> tuple[OrderRecord, bool]:
+        """Return the key's record and whether it was added now.
+
+        Raises OrderKeyReused, OrderExpired, OrderKeyInvalid or OrderNotRun.
+        """
+        record = self.table.find(key)
+        if record is not None:
+            record.check(digest)
+            return record, False
+        self.check_runnable(token)
+        record = OrderRecord(key=key, digest=digest, generation=token.generation)
+        return self.table.add(record), True
+
+    def check_runnable(self, token: HomeToken) -> None:
+        """Raise unless a key of the token that has no record may begin to run."""
+        if token.generation > self.generation:
+            raise OrderKeyInvalid("its generation was never given out")
+        if token.generation <= self.table.expired_through:
+            raise OrderExpired()
+        if self.closed:
+            raise OrderNotRun("its home entry is stopping")
+        if token.generation <= self.table.closed_through:
+            raise OrderNotRun("its home token is too old")
+        if self.table.full:
+            self.table.closed_through = self.generation
+            self.rotate()
+            raise OrderNotRun("the record table is full", retry_after_s=FULL_RETRY_S)
+
+    def close(self) -> None:
+        """Let no further order begin; there is no way back."""
+        self.closed = True
--- /dev/null
+++ b/src/masticdeck/entry/order_forward.py
@@ -0,0 +1,142 @@
+"""Forwarding of orders: requests with a key, which run at most once."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+
+from aiohttp import ClientError, ClientResponse, web
+from multidict import CIMultiDict
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.order_errors import OrderOutcomeUnknown, OrderTooLarge
+from masticdeck.coordination.order_records import RecordedAnswer
+from masticdeck.coordination.orders import Orders
+from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
+from masticdeck.coordination.slots import Slot
+from masticdeck.ids import InstanceId, Outcome
+from masticdeck.protocol import headers
+from masticdeck.protocol.backend import BackendBroken, BackendNotReached, Backends
+from masticdeck.protocol.call import Call
+
+Fields = tuple[tuple[str, str], ...]
+MAX_ATTEMPTS = 2
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS", "TRACE"})
+
+
+class OrderForwarder:
+    """Takes keyed requests through ``Orders`` and runs them at instances."""
+
+    def __init__(self, orders: Orders, policy: Policy, backends: Backends) -> None:
+        self.orders = orders
+        self.policy = policy
+        self.backends = backends
+        orders.executor = self.execute
+
+    async def handle(
+        self, request: web.BaseRequest, call: Call, fields: CIMultiDict[str]
+    ) -> web.Response:
+        """Answer a keyed request; its whole body is read before anything runs."""
+        body = await self.read_body(request, call)
+        answer = await self.orders.run(
+            call, body, self.execute, fields=tuple(fields.items())
+        )
+        return web.Response(
+            status=answer.status, body=answer.body, headers=CIMultiDict(answer.fields)
+        )
+
+    async def read_body(self, request: web.BaseRequest, call: Call) -> bytes:
+        """Return the body, bounded in bytes and by the deadline."""
+        limit = self.orders.node.config.max_order_bytes
+        if (request.content_length or 0) > limit:
+            raise OrderTooLarge(f"over {limit} bytes")
+        pieces = bytearray()
+        async with asyncio.timeout(call.deadline - boottime()):
+            async for piece in request.content.iter_any():
+                pieces += piece
+                if len(pieces) > limit:
+                    raise OrderTooLarge(f"over {limit} bytes")
+        return bytes(pieces)
+
+    async def execute(self, call: Call, body: bytes, fields: Fields) -> RecordedAnswer:
+        """Run an order at an instance; another is tried only if none ran it."""
+        tried: frozenset[InstanceId] = frozenset()
+        while True:
+            slot = await self.policy.acquire(call, avoid=tried)
+            try:
+                return await self.send(call, slot, body, fields)
+            except BackendNotReached:
+                tried |= {slot.instance}
+                if len(tried) >= MAX_ATTEMPTS:
+                    raise
+
+    async def send(
+        self, call: Call, slot: Slot, body: bytes, fields: Fields
+    ) -> RecordedAnswer:
+        """Send the order with a slot held and read the whole answer."""
+        began = time.perf_counter()
+        end = AttemptEnd.CANCELLED
+        status = 0
+        try:
+            async with asyncio.timeout(call.deadline - boottime()):
+                answer = await self.backends.send(
+                    slot.instance, call, CIMultiDict(fields), body or None
+                )
+                status = answer.status
+                recorded = await self.read_answer(answer, slot)
+                end = AttemptEnd.ANSWERED
+                return recorded
+        except BackendNotReached:
+            end = AttemptEnd.SHED if status else AttemptEnd.NOT_SENT
+            raise
+        except BackendBroken:
+            end = AttemptEnd.BROKEN
+            raise
+        except TimeoutError:
+            end = AttemptEnd.BROKEN
+            raise OrderOutcomeUnknown("the deadline passed while it ran") from None
+        finally:
+            result = AttemptResult(
+                end=end, seconds=time.perf_counter() - began, status=status
+            )
+            self.policy.release(slot, call, result)
+
+    async def read_answer(self, answer: ClientResponse, slot: Slot) -> RecordedAnswer:
+        """Return the whole answer, or raise when the instance did not run it."""
+        if answer.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value:
+            answer.release()
+            raise BackendNotReached(f"{slot.instance} shed the request")
+        body = await read_bounded(answer, self.orders.node.config.max_order_bytes)
+        fields = [
+            (name, value)
+            for name, value in answer.headers.items()
+            if name.lower() not in headers.HOP_BY_HOP
+            and name.lower() != "content-length"
+        ]
+        fields.append((headers.INSTANCE, slot.instance))
+        return RecordedAnswer(status=answer.status, fields=tuple(fields), body=body)
+
+
+async def read_bounded(answer: ClientResponse, limit: int) -> bytes:
+    """Return an answer's body; raises BackendBroken when it is cut or too long."""
+    pieces = bytearray()
+    try:
+        async for piece in answer.content.iter_any():
+            pieces += piece
+            if len(pieces) > limit:
+                answer.close()
+                raise BackendBroken(f"the answer is over {limit} bytes")
+    except (ClientError, OSError) as error:
+        raise BackendBroken(type(error).__name__) from error
+    return bytes(pieces)
+
+
+def is_order(call: Call) -> bool:
+    """Return whether a call is an order: keyed, and of an unsafe method."""
+    return call.idempotency_key is not None and call.method not in SAFE_METHODS
+
+
+OrderHandler = Callable[
+    [web.BaseRequest, Call, CIMultiDict[str]], Awaitable[web.Response]
+]
