--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import time
 
 from aiohttp import ClientError, ClientResponse, web
@@ -12,6 +11,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.entry.problem import error_response
 from masticdeck.errors import (
     DeadlinePassed,
     MasticdeckError,
@@ -198,25 +198,3 @@
     )
     fields[headers.REQUEST_ID] = call.id
     return fields
-
-
-def error_response(error: MasticdeckError) -> web.Response:
-    """Return a problem document (RFC 9457) for an error."""
-    problem = {
-        "type": "about:blank",
-        "title": error.title,
-        "status": error.status,
-        "detail": str(error),
-        "code": error.code,
-    }
-    fields = {}
-    if error.outcome is not None:
-        fields[headers.OUTCOME] = error.outcome.value
-    if error.retry_after_s is not None:
-        fields[headers.RETRY_AFTER] = str(max(1, round(error.retry_after_s)))
-    return web.Response(
-        status=error.status,
-        body=json.dumps(problem).encode(),
-        content_type="application/problem+json",
-        headers=fields,
-    )
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -4,8 +4,9 @@
 
 from aiohttp import web
 
-from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder, error_response
+from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.problem import error_response
 from masticdeck.errors import RequestInvalid
 from masticdeck.node import Node
 
@@ -41,10 +42,10 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request."""
-        path = request.path
+        path = request.raw_path
         if path.startswith(SERVICE_PREFIX):
             return await self.forwarder.handle(request)
-        if path == "/lookup":
+        if path.startswith("/lookup") and path[7:8] in ("", "?"):
             return await self.lookup.handle(request)
         if path == "/-/ready":
             return web.Response(text="ready\n")
