--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -10,18 +10,20 @@
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.slots import StaticSlots
 from masticdeck.entry.forward import Forwarder
+from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
 from masticdeck.entry.server import EntryServer
 from masticdeck.errors import SettingsInvalid
 from masticdeck.events import EventLog
 from masticdeck.hookspec import create_hooks
 from masticdeck.ids import Incarnation
+from masticdeck.metrics import Metrics
 from masticdeck.node import Node
 from masticdeck.protocol.backend import Backends
 from masticdeck.protocol.store import HttpStore
 from masticdeck.protocol.vms import HttpVmList
 from masticdeck.state.deployment import load_deployment
-from masticdeck.transport.peers import PeerChannels, PeerServer
+from masticdeck.transport.peers import PeerChannels, PeerServer, StampExchange
 
 
 def build_entry(config: Config) -> Application:
@@ -33,7 +35,8 @@
     events = EventLog(config.entry, clock)
     store = HttpStore(deployment.platform.url)
     vms = HttpVmList(deployment.platform.url)
-    peers = PeerChannels(deployment)
+    stamps = StampExchange(clock)
+    peers = PeerChannels(deployment, stamps=stamps)
     node = Node(
         config=config,
         deployment=deployment,
@@ -48,13 +51,15 @@
     slots = StaticSlots(deployment, node.id)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
-    server = EntryServer(node, Lookup(node), Forwarder(node, policy, backends))
+    metrics = Metrics(zone=node.entry.zone)
+    forwarder = Forwarder(node, policy, backends, metrics)
+    server = EntryServer(node, Lookup(node), forwarder, Inspection(node, metrics))
     application = Application(events)
     for component in (
         store,
         vms,
         peers,
-        PeerServer(node.entry.host, node.entry.peer_port, []),
+        PeerServer(node.entry.host, node.entry.peer_port, [], stamps=stamps),
         backends,
         server,
     ):
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 import time
 
 from aiohttp import ClientError, ClientResponse, web
@@ -19,7 +20,9 @@
     RequestInvalid,
     ServiceUnknown,
 )
+from masticdeck.events import Code
 from masticdeck.ids import CustomerId, InstanceId, Outcome, RequestId, ServiceId
+from masticdeck.metrics import Metrics
 from masticdeck.node import Node
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken, BackendNotReached, Backends
@@ -34,24 +37,46 @@
 class Forwarder:
     """Takes a caller's request to an instance and the answer back."""
 
-    def __init__(self, node: Node, policy: Policy, backends: Backends) -> None:
+    def __init__(
+        self, node: Node, policy: Policy, backends: Backends, metrics: Metrics
+    ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
+        self.metrics = metrics
         self.sequence = 0
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
         self.in_flight += 1
+        call: Call | None = None
         try:
             call = self.parse(request)
+            self.node.events.emit(
+                Code.REQUEST_RECEIVED,
+                level=logging.DEBUG,
+                request=call.id,
+                service=call.service,
+                rank=call.rank.value,
+            )
             return await self.attempt(request, call)
         except MasticdeckError as error:
+            self.note_error(call, error)
             return error_response(error)
         finally:
             self.in_flight -= 1
 
+    def note_error(self, call: Call | None, error: MasticdeckError) -> None:
+        """Record a request that ends without a backend's answer."""
+        refused = error.outcome is Outcome.NOT_RUN
+        self.node.events.emit(
+            Code.REQUEST_REFUSED if refused else Code.REQUEST_UNKNOWN,
+            level=logging.DEBUG,
+            request="" if call is None else call.id,
+            error=error.code,
+        )
+
     def parse(self, request: web.BaseRequest) -> Call:
         """Return the call that a request asks for."""
         service_text, _, rest = request.raw_path[len(SERVICE_PREFIX) :].partition("/")
@@ -93,6 +118,12 @@
     ) -> web.StreamResponse:
         """Send the request with a slot held, and pass the answer on."""
         began = time.perf_counter()
+        self.node.events.emit(
+            Code.REQUEST_SENT,
+            level=logging.DEBUG,
+            request=call.id,
+            instance=slot.instance,
+        )
         end = AttemptEnd.CANCELLED
         status = 0
         try:
@@ -122,6 +153,15 @@
             seconds = time.perf_counter() - began
             result = AttemptResult(end=end, seconds=seconds, status=status)
             self.policy.release(slot, call, result)
+            self.node.events.emit(
+                Code.REQUEST_ANSWERED,
+                level=logging.DEBUG,
+                request=call.id,
+                instance=slot.instance,
+                end=end.value,
+                status=status,
+            )
+            self.metrics.record(call.service, call.rank.value, end.value, seconds)
 
     async def pass_on(
         self, request: web.BaseRequest, answer: ClientResponse, slot: Slot
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 
 from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder, error_response
+from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
 from masticdeck.errors import RequestInvalid
 from masticdeck.node import Node
@@ -13,10 +14,17 @@
 class EntryServer:
     """Listens on the entry's address and dispatches by path."""
 
-    def __init__(self, node: Node, lookup: Lookup, forwarder: Forwarder) -> None:
+    def __init__(
+        self,
+        node: Node,
+        lookup: Lookup,
+        forwarder: Forwarder,
+        inspection: Inspection,
+    ) -> None:
         self.node = node
         self.lookup = lookup
         self.forwarder = forwarder
+        self.inspection = inspection
         self.runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -46,6 +54,7 @@
             return await self.forwarder.handle(request)
         if path == "/lookup":
             return await self.lookup.handle(request)
-        if path == "/-/ready":
-            return web.Response(text="ready\n")
+        page = self.inspection.answer(request)
+        if page is not None:
+            return page
         return error_response(RequestInvalid(f"no such path {path[:64]!r}"))
--- a/src/masticdeck/transport/peers.py
+++ b/src/masticdeck/transport/peers.py
@@ -7,8 +7,16 @@
 from typing import TYPE_CHECKING
 
 from grpclib.client import Channel
+from grpclib.events import (
+    RecvRequest,
+    RecvTrailingMetadata,
+    SendRequest,
+    SendTrailingMetadata,
+    listen,
+)
 from grpclib.server import Server
 
+from masticdeck.clock import HybridClock
 from masticdeck.ids import EntryId
 
 if TYPE_CHECKING:
@@ -17,13 +25,52 @@
     from masticdeck.state.deployment import Deployment
 
 
+STAMP_KEY = "masticdeck-stamp"
+
+
+class StampExchange:
+    """Carries the hybrid clock on the metadata of every call between entries.
+
+    An event that follows from a call therefore has a later stamp than the
+    events before the call, whatever the wall clocks say.
+    """
+
+    def __init__(self, clock: HybridClock) -> None:
+        self.clock = clock
+
+    def watch_channel(self, channel: Channel) -> None:
+        """Stamp the channel's requests and take in the stamps of answers."""
+        listen(channel, SendRequest, self.send)
+        listen(channel, RecvTrailingMetadata, self.receive)
+
+    def watch_server(self, server: Server) -> None:
+        """Take in the stamps of requests and stamp the server's answers."""
+        listen(server, RecvRequest, self.receive)
+        listen(server, SendTrailingMetadata, self.send)
+
+    async def send(self, event: SendRequest | SendTrailingMetadata) -> None:
+        """Add the clock's stamp to outgoing metadata."""
+        event.metadata[STAMP_KEY] = str(self.clock.stamp())
+
+    async def receive(self, event: RecvRequest | RecvTrailingMetadata) -> None:
+        """Take in the stamp of incoming metadata."""
+        text = event.metadata.get(STAMP_KEY)
+        if isinstance(text, str) and text.isdigit():
+            self.clock.receive(int(text))
+
+
 class PeerChannels:
     """Channels by entry, opened at first use and shared by all components."""
 
     def __init__(
-        self, deployment: Deployment, *, tls: ssl.SSLContext | None = None
+        self,
+        deployment: Deployment,
+        *,
+        stamps: StampExchange | None = None,
+        tls: ssl.SSLContext | None = None,
     ) -> None:
         self.deployment = deployment
+        self.stamps = stamps
         self.tls = tls
         self.channels: dict[EntryId, Channel] = {}
 
@@ -33,6 +80,8 @@
         if channel is None:
             node = self.deployment.entry_by_id[entry]
             channel = Channel(node.host, node.peer_port, ssl=self.tls)
+            if self.stamps is not None:
+                self.stamps.watch_channel(channel)
             self.channels[entry] = channel
         return channel
 
@@ -55,17 +104,21 @@
         port: int,
         services: Sequence[IServable],
         *,
+        stamps: StampExchange | None = None,
         tls: ssl.SSLContext | None = None,
     ) -> None:
         self.host = host
         self.port = port
         self.services = services
+        self.stamps = stamps
         self.tls = tls
         self.server: Server | None = None
 
     async def start(self) -> None:
         """Listen on the peer address."""
         self.server = Server(self.services)
+        if self.stamps is not None:
+            self.stamps.watch_server(self.server)
         await self.server.start(self.host, self.port, ssl=self.tls)
 
     async def stop(self) -> None:
