--- a/src/masticdeck/coordination/order_witness.py
+++ b/src/masticdeck/coordination/order_witness.py
@@ -142,9 +142,7 @@
         """Take over the final records of a home that stops."""
         if part.life in self.adopted:
             return
-        table, parts = self.arriving.setdefault(
-            part.life, (self.create_table(), set())
-        )
+        table, parts = self.arriving.setdefault(part.life, (self.create_table(), set()))
         if part.part not in parts:
             parts.add(part.part)
             for record in part.records:
--- a/src/masticdeck/coordination/orders.py
+++ b/src/masticdeck/coordination/orders.py
@@ -13,12 +13,12 @@
 from collections.abc import Awaitable, Callable, Coroutine
 from typing import Any
 
+from masticdeck.coordination.order_choice import WitnessChoice, candidates
 from masticdeck.coordination.order_errors import (
     OrderHomeUnknown,
     OrderNotRun,
     OrderOutcomeUnknown,
 )
-from masticdeck.coordination.order_choice import WitnessChoice, candidates
 from masticdeck.coordination.order_hand_over import RecordHandOver, successors
 from masticdeck.coordination.order_home import Home
 from masticdeck.coordination.order_peers import Order, OrderPeers, PeerNotReached
@@ -261,7 +261,9 @@
     def judges(self, token: HomeToken) -> list[EntryId]:
         """Return the entries to ask in turn: the witness, then the adopters."""
         witness = [token.witness] if token.has_witness else []
-        adopters = [one for one in successors(self.node, token.home) if one not in witness]
+        adopters = [
+            one for one in successors(self.node, token.home) if one not in witness
+        ]
         return witness + adopters
 
     async def maintain(self) -> None:
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -7,11 +7,14 @@
 from masticdeck.application import Application
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.order_peers import OrderService
+from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.slots import StaticSlots
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.order_forward import OrderForwarder
 from masticdeck.entry.server import EntryServer
 from masticdeck.errors import SettingsInvalid
 from masticdeck.events import EventLog
@@ -52,14 +55,18 @@
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
-    forwarder = Forwarder(node, policy, backends, metrics)
+    orders = Orders(node)
+    order_forwarder = OrderForwarder(orders, policy, backends)
+    forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
+    services = [OrderService(orders)]
     server = EntryServer(node, Lookup(node), forwarder, Inspection(node, metrics))
     application = Application(events)
     for component in (
         store,
         vms,
         peers,
-        PeerServer(node.entry.host, node.entry.peer_port, [], stamps=stamps),
+        orders,
+        PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         backends,
         server,
     ):
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -12,6 +12,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.entry.order_forward import OrderForwarder, is_order
 from masticdeck.entry.problem import error_response
 from masticdeck.errors import (
     DeadlinePassed,
@@ -38,12 +39,18 @@
     """Takes a caller's request to an instance and the answer back."""
 
     def __init__(
-        self, node: Node, policy: Policy, backends: Backends, metrics: Metrics
+        self,
+        node: Node,
+        policy: Policy,
+        backends: Backends,
+        metrics: Metrics,
+        orders: OrderForwarder,
     ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
         self.metrics = metrics
+        self.orders = orders
         self.sequence = 0
         self.in_flight = 0
 
@@ -60,6 +67,9 @@
                 service=call.service,
                 rank=call.rank.value,
             )
+            if is_order(call):
+                fields = forward_fields(request, call)
+                return await self.orders.handle(request, call, fields)
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
--- a/src/masticdeck/entry/order_forward.py
+++ b/src/masticdeck/entry/order_forward.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import time
-from collections.abc import Awaitable, Callable
 
 from aiohttp import ClientError, ClientResponse, web
 from multidict import CIMultiDict
@@ -15,6 +14,7 @@
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.errors import DeadlinePassed
 from masticdeck.ids import InstanceId, Outcome
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken, BackendNotReached, Backends
@@ -52,11 +52,14 @@
         if (request.content_length or 0) > limit:
             raise OrderTooLarge(f"over {limit} bytes")
         pieces = bytearray()
-        async with asyncio.timeout(call.deadline - boottime()):
-            async for piece in request.content.iter_any():
-                pieces += piece
-                if len(pieces) > limit:
-                    raise OrderTooLarge(f"over {limit} bytes")
+        try:
+            async with asyncio.timeout(call.deadline - boottime()):
+                async for piece in request.content.iter_any():
+                    pieces += piece
+                    if len(pieces) > limit:
+                        raise OrderTooLarge(f"over {limit} bytes")
+        except TimeoutError:
+            raise DeadlinePassed("while its body arrived") from None
         return bytes(pieces)
 
     async def execute(self, call: Call, body: bytes, fields: Fields) -> RecordedAnswer:
@@ -135,8 +138,3 @@
 def is_order(call: Call) -> bool:
     """Return whether a call is an order: keyed, and of an unsafe method."""
     return call.idempotency_key is not None and call.method not in SAFE_METHODS
-
-
-OrderHandler = Callable[
-    [web.BaseRequest, Call, CIMultiDict[str]], Awaitable[web.Response]
-]
--- a/src/masticdeck/protocol/backend.py
+++ b/src/masticdeck/protocol/backend.py
@@ -59,6 +59,9 @@
             auto_decompress=False,
             timeout=ClientTimeout(total=None),
         )
+        # aiohttp would send PUT and DELETE again by itself on a connection that
+        # broke, also those with an Idempotency-Key.
+        self.session._retry_connection = False
 
     async def stop(self) -> None:
         """Close all connections."""
