--- a/src/masticdeck/coordination/orders.py
+++ b/src/masticdeck/coordination/orders.py
@@ -57,11 +57,11 @@
     proven.
     """
 
-    def __init__(self, node: Node) -> None:
+    def __init__(self, node: Node, *, peers: OrderPeers | None = None) -> None:
         self.node = node
         self.home = Home(node)
         self.witness = Witness(node)
-        self.peers = OrderPeers(node)
+        self.peers = peers or OrderPeers(node)
         self.executor: Executor | None = None
         self.running: dict[str, asyncio.Task[RecordedAnswer]] = {}
         self.tasks: set[asyncio.Task[None]] = set()
