--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -59,7 +59,9 @@
     order_forwarder = OrderForwarder(orders, policy, backends)
     forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
     services = [OrderService(orders)]
-    server = EntryServer(node, Lookup(node, home=orders), forwarder, Inspection(node, metrics))
+    server = EntryServer(
+        node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
+    )
     application = Application(events)
     for component in (
         store,
