--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import json
+import logging
 import time
 
 from aiohttp import ClientError, ClientResponse, web
@@ -12,6 +12,8 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.entry.order_forward import OrderForwarder, is_order
+from masticdeck.entry.problem import error_response
 from masticdeck.errors import (
     DeadlinePassed,
     MasticdeckError,
@@ -19,7 +21,9 @@
     RequestInvalid,
     ServiceUnknown,
 )
+from masticdeck.events import Code
 from masticdeck.ids import CustomerId, InstanceId, Outcome, RequestId, ServiceId
+from masticdeck.metrics import Metrics
 from masticdeck.node import Node
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken, BackendNotReached, Backends
@@ -34,24 +38,55 @@
 class Forwarder:
     """Takes a caller's request to an instance and the answer back."""
 
-    def __init__(self, node: Node, policy: Policy, backends: Backends) -> None:
+    def __init__(
+        self,
+        node: Node,
+        policy: Policy,
+        backends: Backends,
+        metrics: Metrics,
+        orders: OrderForwarder,
+    ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
+        self.metrics = metrics
+        self.orders = orders
         self.sequence = 0
         self.in_flight = 0
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
         self.in_flight += 1
+        call: Call | None = None
         try:
             call = self.parse(request)
+            self.node.events.emit(
+                Code.REQUEST_RECEIVED,
+                level=logging.DEBUG,
+                request=call.id,
+                service=call.service,
+                rank=call.rank.value,
+            )
+            if is_order(call):
+                fields = forward_fields(request, call)
+                return await self.orders.handle(request, call, fields)
             return await self.attempt(request, call)
         except MasticdeckError as error:
+            self.note_error(call, error)
             return error_response(error)
         finally:
             self.in_flight -= 1
 
+    def note_error(self, call: Call | None, error: MasticdeckError) -> None:
+        """Record a request that ends without a backend's answer."""
+        refused = error.outcome is Outcome.NOT_RUN
+        self.node.events.emit(
+            Code.REQUEST_REFUSED if refused else Code.REQUEST_UNKNOWN,
+            level=logging.DEBUG,
+            request="" if call is None else call.id,
+            error=error.code,
+        )
+
     def parse(self, request: web.BaseRequest) -> Call:
         """Return the call that a request asks for."""
         service_text, _, rest = request.raw_path[len(SERVICE_PREFIX) :].partition("/")
@@ -93,6 +128,12 @@
     ) -> web.StreamResponse:
         """Send the request with a slot held, and pass the answer on."""
         began = time.perf_counter()
+        self.node.events.emit(
+            Code.REQUEST_SENT,
+            level=logging.DEBUG,
+            request=call.id,
+            instance=slot.instance,
+        )
         end = AttemptEnd.CANCELLED
         status = 0
         try:
@@ -122,6 +163,15 @@
             seconds = time.perf_counter() - began
             result = AttemptResult(end=end, seconds=seconds, status=status)
             self.policy.release(slot, call, result)
+            self.node.events.emit(
+                Code.REQUEST_ANSWERED,
+                level=logging.DEBUG,
+                request=call.id,
+                instance=slot.instance,
+                end=end.value,
+                status=status,
+            )
+            self.metrics.record(call.service, call.rank.value, end.value, seconds)
 
     async def pass_on(
         self, request: web.BaseRequest, answer: ClientResponse, slot: Slot
@@ -198,25 +248,3 @@
     )
     fields[headers.REQUEST_ID] = call.id
     return fields
-
-
-def error_response(error: MasticdeckError) -> web.Response:
-    """Return a problem document (RFC 9457) for an error."""
-    problem = {
-        "type": "about:blank",
-        "title": error.title,
-        "status": error.status,
-        "detail": str(error),
-        "code": error.code,
-    }
-    fields = {}
-    if error.outcome is not None:
-        fields[headers.OUTCOME] = error.outcome.value
-    if error.retry_after_s is not None:
-        fields[headers.RETRY_AFTER] = str(max(1, round(error.retry_after_s)))
-    return web.Response(
-        status=error.status,
-        body=json.dumps(problem).encode(),
-        content_type="application/problem+json",
-        headers=fields,
-    )
