Accept changes through one compare-and-swap that customers can veto

Cause: there was no way to propose, stop or accept a change of the lists. Change: a ledger in one key of the store holds the accepted version, the pending proposals as deltas and the latest ends; proposal, veto, withdrawal and acceptance are compare-and-swaps that recognise their own earlier effect.

--- /dev/null
+++ b/src/masticdeck/coordination/ledger.py
@@ -0,0 +1,178 @@
+"""The ledger's key in the store: read, compare-and-swap, and history.
+
+Every change is a function from the ledger that was read to the ledger that is
+to be written. It must recognise its own earlier effect, so that a write whose
+answer was lost is resolved by reading again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Callable
+from typing import TypeVar
+
+from pydantic import ValidationError
+
+from masticdeck.errors import StoreAnswerInvalid, StoreConflict, StoreUnavailable
+from masticdeck.ids import ProposalId, Revision, Version
+from masticdeck.protocol.store import ABSENT, Store
+from masticdeck.state.acceptance import (
+    Ledger,
+    Settled,
+    StoreBehind,
+    WriteUnknown,
+)
+from masticdeck.state.deployment import Model
+from masticdeck.state.lists import Configuration
+
+T = TypeVar("T")
+
+LEDGER_KEY = "configuration/current"
+HISTORY_PREFIX = "configuration/history/"
+ACCEPTED_PREFIX = "configuration/accepted/"
+MAX_ATTEMPTS = 30
+RETRY_S = 0.02
+READ_BACK_TRIES = 3
+
+
+class Accepted(Model):
+    """One version of the history and the proposal that made it."""
+
+    proposal: Settled | None
+    configuration: Configuration
+
+
+def history_key(version: Version) -> str:
+    """Return the key of a version of the history."""
+    return f"{HISTORY_PREFIX}{version:010d}"
+
+
+class LedgerFile:
+    """Reads and writes the ledger.
+
+    ``floor`` returns the version in force on this node: an older ledger comes
+    from a store that lags, and nothing is written on it.
+    """
+
+    def __init__(self, store: Store, floor: Callable[[], Version]) -> None:
+        self.store = store
+        self.floor = floor
+        self.random = random.Random()
+
+    async def read(self) -> tuple[Revision, Ledger]:
+        """Return the ledger and its revision.
+
+        Raises StoreUnavailable, StoreBehind or StoreAnswerInvalid.
+        """
+        item = await self.store.get(LEDGER_KEY)
+        ledger = Ledger() if item is None else decode_ledger(item.value)
+        if ledger.version < self.floor():
+            raise StoreBehind(f"version {ledger.version}, in force {self.floor()}")
+        return (ABSENT if item is None else item.revision), ledger
+
+    async def update(
+        self,
+        decide: Callable[[Ledger], tuple[Ledger, T]],
+        *,
+        guard: Callable[[], None] | None = None,
+    ) -> T:
+        """Apply a change by compare-and-swap and return what it decided.
+
+        ``decide`` returns the same ledger when nothing is left to write.
+        ``guard`` is called right before the write and raises to prevent it.
+        Raises WriteUnknown when a write's answer was lost and the ledger could
+        not be read back.
+        """
+        unsure = False
+        for _ in range(MAX_ATTEMPTS):
+            revision, ledger = await self.read_back(unsure=unsure)
+            changed, result = decide(ledger)
+            if changed is ledger:
+                return result
+            try:
+                await self.archive(ledger, changed)
+                if guard is not None:
+                    guard()
+                value = changed.model_dump_json().encode()
+                await self.store.put(LEDGER_KEY, value, expect=revision)
+                return result
+            except StoreConflict:
+                await asyncio.sleep(RETRY_S * self.random.random())
+            except (StoreUnavailable, StoreAnswerInvalid):
+                unsure = True
+        raise WriteUnknown("the ledger is written by too many at once")
+
+    async def read_back(self, *, unsure: bool) -> tuple[Revision, Ledger]:
+        """Read the ledger, more than once when a write's answer was lost."""
+        for attempt in range(READ_BACK_TRIES):
+            try:
+                return await self.read()
+            except (StoreUnavailable, StoreAnswerInvalid) as error:
+                if not unsure:
+                    raise
+                if attempt == READ_BACK_TRIES - 1:
+                    raise WriteUnknown(error.detail) from error
+                await asyncio.sleep(RETRY_S * (1 << attempt))
+        raise WriteUnknown
+
+    async def archive(self, old: Ledger, new: Ledger) -> None:
+        """Keep a version in the history before another takes its place.
+
+        A version never changes, so that a repeated or concurrent write of the
+        same key is harmless.
+        """
+        if new.version == old.version or old.version == 0:
+            return
+        entry = Accepted(proposal=old.accepted, configuration=old.configuration)
+        await self.put_once(history_key(old.version), entry.model_dump_json().encode())
+        if old.accepted is not None:
+            key = f"{ACCEPTED_PREFIX}{old.accepted.id}"
+            await self.put_once(key, old.accepted.model_dump_json().encode())
+
+    async def put_once(self, key: str, value: bytes) -> None:
+        """Write a key that never changes, unless it is there."""
+        try:
+            await self.store.put(key, value, expect=ABSENT)
+        except StoreConflict:
+            return
+
+    async def version(self, version: Version) -> Accepted | None:
+        """Return a version of the history, or None when it was never accepted."""
+        _, ledger = await self.read()
+        if version == ledger.version:
+            return Accepted(
+                proposal=ledger.accepted, configuration=ledger.configuration
+            )
+        item = await self.store.get(history_key(version))
+        return None if item is None else decode(Accepted, item.value)
+
+    async def accepted_as(self, proposal: ProposalId) -> Settled | None:
+        """Return how an old proposal was accepted, or None."""
+        item = await self.store.get(f"{ACCEPTED_PREFIX}{proposal}")
+        return None if item is None else decode(Settled, item.value)
+
+    async def history(self, *, limit: int) -> list[Accepted]:
+        """Return the latest versions, the newest first."""
+        _, ledger = await self.read()
+        oldest = max(1, ledger.version - limit + 1)
+        versions = [Version(one) for one in range(ledger.version, oldest - 1, -1)]
+        found = [await self.version(one) for one in versions]
+        return [one for one in found if one is not None]
+
+
+ModelT = TypeVar("ModelT", bound=Model)
+
+
+def decode(model: type[ModelT], value: bytes) -> ModelT:
+    """Return a value of the store, or raise StoreAnswerInvalid."""
+    try:
+        return model.model_validate_json(value)
+    except ValidationError as error:
+        detail = f"{model.__name__} cannot be decoded: {error.error_count()} faults"
+        raise StoreAnswerInvalid(detail) from None
+
+
+def decode_ledger(value: bytes) -> Ledger:
+    """Return the ledger in a value of the store."""
+    return decode(Ledger, value)
