Lease slots of each region as shares that follow the work

Cause: slots dealt out by position stay idle at one entry while work waits at another. Change: one owner per region keeps a ledger of slot units and grants them to entries over kept-open streams; grants have a validity that the holder checks at the moment of use; a new owner reads back from every entry. The setting slots chooses between shares (default) and static.

--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -36,7 +36,11 @@
     lookup_ttl_s: Annotated[float, Field(gt=0, le=300)] = 5.0
     heartbeat_s: Annotated[float, Field(gt=0)] = 1.0
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
+    slots: Annotated[str, Field(pattern="^(static|shares)$")] = "shares"
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    share_report_s: Annotated[float, Field(gt=0)] = 1.0
+    share_outage_s: Annotated[float, Field(ge=0)] = 600.0
+    share_outage_ttl_s: Annotated[float, Field(gt=0)] = 120.0
     stop_grace_s: Annotated[float, Field(gt=0)] = 20.0
     max_header_bytes: Annotated[int, Field(ge=1024)] = 16_384
     max_order_bytes: Annotated[int, Field(gt=0)] = 1_048_576
--- a/src/masticdeck/coordination/membership.py
+++ b/src/masticdeck/coordination/membership.py
@@ -88,6 +88,14 @@
             if member.state is MemberState.ALIVE
         ]
 
+    def unheard(self) -> list[EntryId]:
+        """Return the entries that may be alive but were never heard of."""
+        return [
+            member.id
+            for member in self.members.values()
+            if member.state is MemberState.SUSPECT and not member.incarnation
+        ]
+
     def leave(self) -> None:
         """Announce that this entry is leaving and must get no new work."""
         if self.me.state is not MemberState.LEAVING:
--- a/src/masticdeck/coordination/ownership.py
+++ b/src/masticdeck/coordination/ownership.py
@@ -30,7 +30,7 @@
 DRIFT_MIN_S = 0.1
 STAGGER_S = 0.3
 WATCH_WAIT_S = 15.0
-IDLE_POLL_S = 1.0
+IDLE_POLL_S = 0.5
 RETRY_S = 0.25
 REVOKE_TIMEOUT_S = 1.0
 FRESH_FAILURE_S = 3.0
@@ -53,6 +53,26 @@
     )
 
 
+def rank_candidates(
+    membership: Membership, name: str, region: RegionId | None
+) -> list[EntryId]:
+    """Return the entries that may own a name, a region's own entries first.
+
+    Entries of which nothing was ever heard count as well, so that the first
+    entry that starts does not take every name.
+    """
+    order = rendezvous_order(name, membership.alive() + membership.unheard())
+    if region is None:
+        return order
+    deployment = membership.node.deployment
+    return sorted(
+        order,
+        key=lambda entry: (
+            deployment.region_of[deployment.entry_by_id[entry].zone] != region
+        ),
+    )
+
+
 class Fence:
     """Highest fencing token seen by name; refuses lower ones.
 
@@ -148,20 +168,10 @@
         return self.failed_at > 0.0
 
     def candidates(self) -> list[EntryId]:
-        """Return the live entries in the order in which they try."""
+        """Return the entries that may try, in the order in which they do."""
         if self.membership is None:
             return [self.node.id]
-        live = self.membership.alive()
-        order = rendezvous_order(self.name, live)
-        if self.region is None:
-            return order
-        deployment = self.node.deployment
-        near = {
-            entry.id
-            for entry in deployment.entries
-            if deployment.region_of[entry.zone] == self.region
-        }
-        return sorted(order, key=lambda entry: entry not in near)
+        return rank_candidates(self.membership, self.name, self.region)
 
     async def start(self) -> None:
         """Begin to compete for the name."""
--- /dev/null
+++ b/src/masticdeck/coordination/region_owner.py
@@ -0,0 +1,300 @@
+"""The owner's side of shares for one region: takes over, grants, recalls."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import logging
+
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.owner_session import OwnerSession
+from masticdeck.coordination.ownership import Fence, Ownership
+from masticdeck.coordination.share_balance import balance
+from masticdeck.coordination.share_ledger import (
+    CLOCK_MARGIN_S,
+    NOTICE_S,
+    Holder,
+    Ledger,
+)
+from masticdeck.coordination.units import decode_units
+from masticdeck.errors import MasticdeckError
+from masticdeck.events import Code
+from masticdeck.ids import EntryId, FencingToken, Incarnation, RegionId, Revision
+from masticdeck.node import Node
+from masticdeck.protocol.generated.shares_grpc import SharesStub
+from masticdeck.protocol.generated.shares_pb2 import ReadBackRequest, Report
+from masticdeck.protocol.store import ABSENT
+
+CHECK_S = 0.1
+BALANCE_DELAY_S = 0.003
+READ_BACK_TIMEOUT_S = 1.0
+READ_BACK_RETRY_S = 0.2
+RECORD_RETRY_S = 0.2
+READ_BACK_FAULTS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
+
+
+class RegionOwner:
+    """Keeps the ledger of a region while this node owns it.
+
+    After each change of the token the ledger starts empty and is read back
+    from every entry. Units that nobody claims stay out of use until every
+    entry has answered or is known to have ended, or else until the last grant
+    of any earlier owner and the requests under it must be over.
+    """
+
+    def __init__(self, node: Node, region: RegionId, ownership: Ownership) -> None:
+        self.node = node
+        self.region = region
+        self.name = ownership.name
+        self.ownership = ownership
+        self.fence = Fence()
+        self.token = FencingToken(0)
+        self.ledger = Ledger(node.deployment, region)
+        self.sessions: dict[EntryId, OwnerSession] = {}
+        self.unsettled: set[EntryId] = set()
+        self.reported: set[EntryId] = set()
+        self.settle_at = 0.0
+        self.settled = False
+        self.outlasting = False
+        self.prior_owner: EntryId | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.timer: asyncio.TimerHandle | None = None
+
+    def may_grant(self) -> bool:
+        """Return whether this node may grant at this moment.
+
+        Past its lease it may go on while the store does not answer, because
+        nobody else can acquire then; the bound is ``share_outage_s``.
+        """
+        if not self.token or self.token != self.ownership.token:
+            return False
+        if self.fence.highest.get(self.name, FencingToken(0)) > self.token:
+            return False
+        if self.ownership.valid():
+            self.outlasting = False
+            return True
+        outlasts = self.ownership.outlasts_store(self.node.config.share_outage_s)
+        if outlasts and not self.outlasting:
+            self.outlasting = True
+            self.node.events.emit(
+                Code.SHARES_OUTLAST_STORE, level=logging.WARNING, region=self.region
+            )
+        return outlasts
+
+    def validity_s(self) -> float:
+        """Return how long grants are valid: longer while the store fails."""
+        config = self.node.config
+        if self.ownership.store_failing:
+            return config.share_outage_ttl_s
+        return config.share_ttl_s
+
+    async def run(self) -> None:
+        """Follow the ownership and check what has expired, for ever."""
+        while True:
+            if self.token != self.ownership.token:
+                self.change(self.ownership.token)
+            if self.token:
+                self.check()
+            await asyncio.sleep(CHECK_S)
+
+    async def stop(self) -> None:
+        """End every session."""
+        self.change(FencingToken(0))
+        if self.timer is not None:
+            self.timer.cancel()
+        tasks = list(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def change(self, token: FencingToken) -> None:
+        """Start over under a new token, or stop when it is 0."""
+        for session in list(self.sessions.values()):
+            session.end()
+        self.sessions.clear()
+        if self.token and not token:
+            self.node.events.emit(Code.SHARES_STOPPED, region=self.region)
+        self.token = token
+        if token:
+            self.take_over()
+
+    def take_over(self) -> None:
+        """Begin with an empty ledger and read back what was granted."""
+        leaving = self.ledger.leaving
+        self.ledger = Ledger(self.node.deployment, self.region)
+        self.ledger.leaving = leaving
+        self.settled = False
+        self.reported = set()
+        self.unsettled = {entry.id for entry in self.node.deployment.entries}
+        config = self.node.config
+        self.settle_at = boottime() + config.share_outage_s + self.last_grant_s
+        self.node.events.emit(
+            Code.SHARES_TAKEN_OVER, region=self.region, token=self.token
+        )
+        self.spawn(self.enter_record(self.token))
+        for entry in sorted(self.unsettled):
+            self.spawn(self.read_back(entry, self.token))
+
+    @property
+    def last_grant_s(self) -> float:
+        """Return how long after its sending a grant can still matter."""
+        config = self.node.config
+        valid_s = max(config.share_ttl_s, config.share_outage_ttl_s)
+        return valid_s + self.ledger.longest_wait_s + CLOCK_MARGIN_S
+
+    def spawn(self, body: object) -> None:
+        """Run a coroutine beside the others until it ends or this stops."""
+        task: asyncio.Task[None] = asyncio.create_task(body)  # type: ignore[arg-type]
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def enter_record(self, token: FencingToken) -> None:
+        """Write into the store who owns last; read who did before.
+
+        Without an earlier record nobody was ever granted a unit.
+        """
+        key = f"shares/{self.region}"
+        value = json.dumps({"entry": self.node.id, "token": token}).encode()
+        prior: EntryId | None = None
+        known = False
+        while self.token == token:
+            try:
+                item = await self.node.store.get(key)
+                if item is not None and item.value == value:
+                    break
+                if not known:
+                    known = True
+                    prior = EntryId(json.loads(item.value)["entry"]) if item else None
+                expect: Revision = item.revision if item else ABSENT
+                await self.node.store.put(key, value, expect=expect)
+                break
+            except MasticdeckError:
+                await asyncio.sleep(RECORD_RETRY_S)
+        if self.token != token:
+            return
+        if prior is None:
+            self.settle_at = boottime()
+        else:
+            self.prior_owner = prior
+            self.shorten()
+
+    def shorten(self) -> None:
+        """Wait less once the earlier owner is known to grant no more."""
+        if self.prior_owner is not None and self.prior_owner not in self.unsettled:
+            self.settle_at = min(self.settle_at, boottime() + self.last_grant_s)
+
+    async def read_back(self, entry: EntryId, token: FencingToken) -> None:
+        """Ask one entry what it holds until it answers or is known to be gone."""
+        request = ReadBackRequest(region=self.region, token=token)
+        while self.token == token and not self.settled:
+            try:
+                stub = SharesStub(self.node.peers.get(entry))
+                answer = await stub.ReadBack(request, timeout=READ_BACK_TIMEOUT_S)
+            except ConnectionRefusedError:
+                await asyncio.sleep(NOTICE_S)
+                break
+            except READ_BACK_FAULTS:
+                await asyncio.sleep(READ_BACK_RETRY_S)
+                continue
+            if self.token != token or not answer.accepted:
+                return
+            if entry not in self.reported:
+                now = boottime()
+                incarnation = Incarnation(answer.incarnation)
+                holder = self.ledger.holder(entry, incarnation, now)
+                self.ledger.promise(holder, now + answer.valid_ms / 1000)
+                self.ledger.claim(holder, decode_units(answer.units))
+            break
+        if self.token == token:
+            self.unsettled.discard(entry)
+            self.shorten()
+            self.check()
+
+    def check(self) -> None:
+        """Free what nobody can hold any more, and deal it out."""
+        now = boottime()
+        if not self.settled and (not self.unsettled or now > self.settle_at):
+            self.settled = True
+            self.ledger.settle()
+            self.node.events.emit(Code.SHARES_SETTLED, region=self.region)
+        for holder in self.ledger.expire(now):
+            self.node.events.emit(
+                Code.SHARES_EXPIRED, region=self.region, entry=holder.id
+            )
+            session = self.sessions.get(holder.id)
+            if session is not None:
+                session.end()
+        self.balance_soon()
+
+    def balance_soon(self) -> None:
+        """Balance once for all reports that arrive within a few milliseconds."""
+        if self.timer is None:
+            loop = asyncio.get_running_loop()
+            self.timer = loop.call_later(BALANCE_DELAY_S, self.balance)
+
+    def balance(self) -> None:
+        """Move units to where work waits and wake the sessions concerned."""
+        self.timer = None
+        if not self.may_grant():
+            return
+        plan = balance(self.ledger)
+        for entry, session in self.sessions.items():
+            session.plan(
+                plan.added.get(entry, set()),
+                plan.idle.get(entry, {}),
+                plan.next.get(entry, {}),
+            )
+
+    def join(self, report: Report, session: OwnerSession) -> Holder:
+        """Take a holder's full report into the ledger."""
+        entry = EntryId(report.entry)
+        now = boottime()
+        old = self.sessions.get(entry)
+        if old is not None:
+            old.end()
+        holder = self.ledger.holder(entry, Incarnation(report.incarnation), now)
+        self.reported.add(entry)
+        claimed = decode_units(report.units)
+        refused = self.ledger.claim(holder, claimed)
+        if refused:
+            session.recalled |= refused
+            self.node.events.emit(
+                Code.SHARES_CONFLICT,
+                level=logging.WARNING,
+                region=self.region,
+                entry=entry,
+                units=len(refused),
+            )
+        holder.connected = True
+        self.sessions[entry] = session
+        return holder
+
+    def leave(self, session: OwnerSession) -> None:
+        """Forget a session that has ended."""
+        if self.sessions.get(session.entry) is session:
+            del self.sessions[session.entry]
+            session.holder.connected = False
+            if session.holder.units and self.token:
+                self.spawn(self.knock(session.holder))
+
+    async def knock(self, holder: Holder) -> None:
+        """Find out whether the process of a holder without session has ended."""
+        node = self.node.deployment.entry_by_id[holder.id]
+        token = self.token
+        while (
+            self.token == token
+            and not holder.connected
+            and holder.units
+            and self.ledger.holders.get(holder.id) is holder
+        ):
+            try:
+                _, writer = await asyncio.open_connection(node.host, node.peer_port)
+                writer.close()
+            except ConnectionRefusedError:
+                self.ledger.retire(holder, boottime())
+                return
+            except OSError:
+                pass
+            await asyncio.sleep(READ_BACK_RETRY_S)
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -12,7 +12,8 @@
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
-from masticdeck.coordination.slots import StaticSlots
+from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.slots import SlotSource, StaticSlots
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -57,14 +58,15 @@
         peers=peers,
     )
     membership = Membership(node)
-    slots = StaticSlots(deployment, node.id)
+    shares = Shares(node, membership)
+    slots = choose_slots(node, shares)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
     forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
-    services: list[IServable] = [OrderService(orders), membership.links]
+    services: list[IServable] = [OrderService(orders), membership.links, shares]
     server = EntryServer(
         node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
     )
@@ -76,8 +78,16 @@
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
+        shares,
         backends,
         server,
     ):
         application.add(component)
     return application
+
+
+def choose_slots(node: Node, shares: Shares) -> SlotSource:
+    """Return the source of slots that the settings name."""
+    if node.config.slots == "static":
+        return StaticSlots(node.deployment, node.id)
+    return shares.holder
--- a/src/masticdeck/programs/runtime.py
+++ b/src/masticdeck/programs/runtime.py
@@ -67,4 +67,5 @@
 
     formats: dict[str, Any] = {"plain": LogFormat.plain, "json": LogFormat.json}
     basic_config(level=level, log_format=formats[style], buffered=False)
-    logging.getLogger("aiohttp").setLevel(logging.WARNING)
+    for name in ("aiohttp", "grpclib"):
+        logging.getLogger(name).setLevel(logging.WARNING)
