--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -3,15 +3,20 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
 from masticdeck.application import Application
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.membership import Membership
+from masticdeck.coordination.order_peers import OrderService
+from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.slots import StaticSlots
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.order_forward import OrderForwarder
 from masticdeck.entry.server import EntryServer
 from masticdeck.errors import SettingsInvalid
 from masticdeck.events import EventLog
@@ -25,6 +30,9 @@
 from masticdeck.state.deployment import load_deployment
 from masticdeck.transport.peers import PeerChannels, PeerServer, StampExchange
 
+if TYPE_CHECKING:
+    from grpclib._typing import IServable
+
 
 def build_entry(config: Config) -> Application:
     """Return the application of an entry, not yet started."""
@@ -48,18 +56,26 @@
         vms=vms,
         peers=peers,
     )
+    membership = Membership(node)
     slots = StaticSlots(deployment, node.id)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
-    forwarder = Forwarder(node, policy, backends, metrics)
-    server = EntryServer(node, Lookup(node), forwarder, Inspection(node, metrics))
+    orders = Orders(node)
+    order_forwarder = OrderForwarder(orders, policy, backends)
+    forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
+    services: list[IServable] = [OrderService(orders), membership.links]
+    server = EntryServer(
+        node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
+    )
     application = Application(events)
     for component in (
         store,
         vms,
         peers,
-        PeerServer(node.entry.host, node.entry.peer_port, [], stamps=stamps),
+        orders,
+        PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
+        membership,
         backends,
         server,
     ):
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import asyncio
-import json
 import logging
 import time
 
@@ -13,6 +12,8 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.entry.order_forward import OrderForwarder, is_order
+from masticdeck.entry.problem import error_response
 from masticdeck.errors import (
     DeadlinePassed,
     MasticdeckError,
@@ -38,12 +39,18 @@
     """Takes a caller's request to an instance and the answer back."""
 
     def __init__(
-        self, node: Node, policy: Policy, backends: Backends, metrics: Metrics
+        self,
+        node: Node,
+        policy: Policy,
+        backends: Backends,
+        metrics: Metrics,
+        orders: OrderForwarder,
     ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
         self.metrics = metrics
+        self.orders = orders
         self.sequence = 0
         self.in_flight = 0
 
@@ -60,6 +67,9 @@
                 service=call.service,
                 rank=call.rank.value,
             )
+            if is_order(call):
+                fields = forward_fields(request, call)
+                return await self.orders.handle(request, call, fields)
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
@@ -238,25 +248,3 @@
     )
     fields[headers.REQUEST_ID] = call.id
     return fields
-
-
-def error_response(error: MasticdeckError) -> web.Response:
-    """Return a problem document (RFC 9457) for an error."""
-    problem = {
-        "type": "about:blank",
-        "title": error.title,
-        "status": error.status,
-        "detail": str(error),
-        "code": error.code,
-    }
-    fields = {}
-    if error.outcome is not None:
-        fields[headers.OUTCOME] = error.outcome.value
-    if error.retry_after_s is not None:
-        fields[headers.RETRY_AFTER] = str(max(1, round(error.retry_after_s)))
-    return web.Response(
-        status=error.status,
-        body=json.dumps(problem).encode(),
-        content_type="application/problem+json",
-        headers=fields,
-    )
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -4,9 +4,10 @@
 
 from aiohttp import web
 
-from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder, error_response
+from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.problem import error_response
 from masticdeck.errors import RequestInvalid
 from masticdeck.node import Node
 
@@ -49,10 +50,10 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request."""
-        path = request.path
+        path = request.raw_path
         if path.startswith(SERVICE_PREFIX):
             return await self.forwarder.handle(request)
-        if path == "/lookup":
+        if path.startswith("/lookup") and path[7:8] in ("", "?"):
             return await self.lookup.handle(request)
         page = self.inspection.answer(request)
         if page is not None:
