--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	$(PY) scripts/demo.py
 
 bench: setup
-	$(PY) -m bench $(EXPERIMENT) --deployment $(DEPLOYMENT)
+	$(PY) -m bench $(EXPERIMENT) --deployment $(DEPLOYMENT) $(if $(RECORD),--record)
 
 generate: setup
 	$(VENV)/bin/pip install -q '.[generate]'
