--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -8,7 +8,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "src"
-LAYERS = ("state", "transport", "protocol", "coordination", "entry", "programs")
+LAYERS = ("state", "transport", "protocol", "coordination", "entry", "load", "programs")
 TREES = ("src", "testing", "bench", "scripts")
 TOP_MODULES = frozenset({"client"})
 
--- a/src/masticdeck/coordination/policy.py
+++ b/src/masticdeck/coordination/policy.py
@@ -16,13 +16,15 @@
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.slots import Slot, SlotSource
-from masticdeck.errors import DeadlinePassed, Overloaded
+from masticdeck.errors import DeadlinePassed, MasticdeckError, Overloaded
 from masticdeck.hookspec import hookimpl
-from masticdeck.ids import InstanceId, ServiceId
+from masticdeck.ids import CustomerId, InstanceId, Outcome, Rank, ServiceId
 from masticdeck.node import Node
 from masticdeck.protocol.call import Call
 from masticdeck.registry import Registry
 
+MAX_ATTEMPTS = 2
+
 
 class AttemptEnd(Enum):
     """How one attempt at an instance ended."""
@@ -31,6 +33,7 @@
     SHED = "shed"
     NOT_SENT = "not sent"
     BROKEN = "broken"
+    LATE = "late"
     CANCELLED = "cancelled"
 
 
@@ -58,6 +61,18 @@
     def release(self, slot: Slot, call: Call, result: AttemptResult) -> None:
         """Give the slot back and learn from the attempt's result."""
 
+    def allowed_rank(self, customer: CustomerId | None, rank: Rank) -> Rank:
+        """Return the rank asked for, lowered to what the customer may use."""
+
+    def may_retry(self, call: Call, error: MasticdeckError, attempts: int) -> bool:
+        """Return whether another attempt is safe and within the budget."""
+
+    def count_small(self, slot: Slot, size: int) -> None:
+        """Count the bytes of a small answer on the link that it came over."""
+
+    async def pace_large(self, slot: Slot, size: int) -> None:
+        """Wait until a piece of a large answer may be passed on."""
+
 
 policies: Registry[Callable[[Node, SlotSource], Policy]] = Registry("policy")
 
@@ -133,6 +148,21 @@
                 return
         self.slots.give_back(slot)
 
+    def allowed_rank(self, customer: CustomerId | None, rank: Rank) -> Rank:
+        """Return the rank asked for."""
+        return rank
+
+    def may_retry(self, call: Call, error: MasticdeckError, attempts: int) -> bool:
+        """Allow one more attempt at what is idempotent or did not run."""
+        safe = call.idempotent or error.outcome is Outcome.NOT_RUN
+        return safe and attempts < MAX_ATTEMPTS
+
+    def count_small(self, slot: Slot, size: int) -> None:
+        """Do nothing; this policy knows no links."""
+
+    async def pace_large(self, slot: Slot, size: int) -> None:
+        """Do nothing; this policy knows no links."""
+
     @hookimpl
     def slots_available(self, service: ServiceId) -> None:
         """Hand newly arrived slots to waiting calls."""
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -4,6 +4,7 @@
 
 import time
 
+import masticdeck.coordination.ranked  # noqa: F401
 from masticdeck.application import Application
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import time
 
@@ -28,7 +29,6 @@
 SERVICE_PREFIX = "/service/"
 MAX_TIMEOUT_MS = 120_000
 SMALL_ANSWER_BYTES = 65_536
-MAX_ATTEMPTS = 2
 
 
 class Forwarder:
@@ -59,12 +59,14 @@
         if service is None:
             raise ServiceUnknown(repr(service_text[:64]))
         fields = request.headers
+        customer_text = fields.get(headers.CUSTOMER)
+        customer = None if customer_text is None else CustomerId(customer_text)
         rank = headers.parse_priority(fields.get(headers.PRIORITY, "")) or service.rank
+        rank = self.policy.allowed_rank(customer, rank)
         wait_ms = parse_timeout(fields.get(headers.TIMEOUT_MS))
         if wait_ms is None:
             wait_ms = service.agreed_wait_ms[rank]
         self.sequence += 1
-        customer = fields.get(headers.CUSTOMER)
         return Call(
             id=RequestId(f"{self.node.id}-{self.node.incarnation:x}-{self.sequence}"),
             service=service.id,
@@ -72,21 +74,25 @@
             path=f"/{rest}",
             rank=rank,
             deadline=boottime() + wait_ms / 1000,
-            customer=None if customer is None else CustomerId(customer),
+            customer=customer,
             idempotency_key=fields.get(headers.IDEMPOTENCY_KEY),
+            attempt=1 if fields.get(headers.ATTEMPT, "1") == "1" else 2,
         )
 
     async def attempt(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         """Try instances until one answers or no further try is allowed."""
         tried: frozenset[InstanceId] = frozenset()
-        while True:
+        for attempts in itertools.count(1):
             slot = await self.policy.acquire(call, avoid=tried)
             try:
                 return await self.send(request, call, slot)
             except (BackendNotReached, BackendBroken) as error:
                 tried |= {slot.instance}
-                if len(tried) >= MAX_ATTEMPTS or not may_retry(request, call, error):
+                if request.body_exists:
                     raise
+                if not self.policy.may_retry(call, error, attempts):
+                    raise
+        raise AssertionError("unreachable")
 
     async def send(
         self, request: web.BaseRequest, call: Call, slot: Slot
@@ -95,6 +101,7 @@
         began = time.perf_counter()
         end = AttemptEnd.CANCELLED
         status = 0
+        size = 0
         try:
             async with asyncio.timeout(call.deadline - boottime()):
                 body = request.content if request.body_exists else None
@@ -102,6 +109,7 @@
                     slot.instance, call, forward_fields(request, call), body
                 )
                 status = answer.status
+                size = answer.content_length or 0
                 if is_shed(answer):
                     end = AttemptEnd.SHED
                     answer.release()
@@ -116,11 +124,11 @@
             end = AttemptEnd.BROKEN
             raise
         except TimeoutError:
-            end = AttemptEnd.BROKEN
+            end = AttemptEnd.LATE
             raise OutcomeUnknown("the deadline passed while the request ran") from None
         finally:
             seconds = time.perf_counter() - began
-            result = AttemptResult(end=end, seconds=seconds, status=status)
+            result = AttemptResult(end=end, seconds=seconds, status=status, bytes=size)
             self.policy.release(slot, call, result)
 
     async def pass_on(
@@ -135,11 +143,13 @@
         fields[headers.INSTANCE] = slot.instance
         length = answer.content_length
         if length is not None and length <= SMALL_ANSWER_BYTES:
+            self.policy.count_small(slot, length)
             return await self.pass_small(answer, fields)
         response = web.StreamResponse(status=answer.status, headers=fields)
         await response.prepare(request)
         try:
             async for chunk in answer.content.iter_any():
+                await self.policy.pace_large(slot, len(chunk))
                 await response.write(chunk)
             await response.write_eof()
         except BaseException:
@@ -177,13 +187,6 @@
     return answer.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value
 
 
-def may_retry(request: web.BaseRequest, call: Call, error: MasticdeckError) -> bool:
-    """Return whether another attempt is safe and the body is still unread."""
-    if request.body_exists:
-        return False
-    return call.idempotent or error.outcome is Outcome.NOT_RUN
-
-
 def forward_fields(request: web.BaseRequest, call: Call) -> CIMultiDict[str]:
     """Return the request's end-to-end headers."""
     named = {
--- /dev/null
+++ b/src/masticdeck/load/__init__.py
@@ -0,0 +1,3 @@
+"""Open-loop load against a deployment: arrivals, checks, records, report."""
+
+from __future__ import annotations
--- a/src/masticdeck/protocol/call.py
+++ b/src/masticdeck/protocol/call.py
@@ -16,7 +16,8 @@
     """One request of a caller.
 
     ``deadline`` is in seconds of the boot-time clock; ``path`` is what the
-    backend server sees, with its query.
+    backend server sees, with its query; ``attempt`` is above 1 when the caller
+    says that it repeats a request.
     """
 
     id: RequestId
@@ -27,6 +28,7 @@
     deadline: float
     customer: CustomerId | None = None
     idempotency_key: str | None = None
+    attempt: int = 1
 
     @property
     def idempotent(self) -> bool:
