--- a/src/masticdeck/load/caller.py
+++ b/src/masticdeck/load/caller.py
@@ -7,7 +7,6 @@
 import random
 import sys
 import time
-from collections.abc import Callable
 from typing import Any
 
 from aiohttp import (
@@ -192,7 +191,9 @@
                 return refused_or_unknown(response)
             if stream.file_bytes:
                 return await self.check_file(response, stream.file_bytes)
-            return check_small(await response.json(content_type=None), path, body, nonce)
+            return check_small(
+                await response.json(content_type=None), path, body, nonce
+            )
 
     async def check_file(self, response: ClientResponse, size: int) -> Result:
         """Read a file; it stalls when no byte comes for STALL_S."""
@@ -220,5 +221,3 @@
     expected = (path, nonce, digest)
     found = (answer.get("path"), answer.get("nonce"), answer.get("digest"))
     return Result.CORRECT if found == expected else Result.WRONG
-
-
