--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -49,6 +49,8 @@
     in_flight: int = 0
     most_in_flight: int = 0
     over_slots: int = 0
+    arrived: int = 0
+    over_region: int = 0
     open_connections: int = 0
     most_connections: int = 0
     ran: int = 0
@@ -59,6 +61,8 @@
     runs_by_key: Counter[str] = field(default_factory=Counter)
     faults: dict[str, Any] = field(default_factory=dict)
     cold_until: float = 0.0
+    zone: str = ""
+    neighbours: list[Instance] = field(default_factory=list)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request."""
@@ -73,9 +77,18 @@
             return web.json_response({"load": load, "in_flight": self.in_flight})
         return await self.serve(request)
 
+    @property
+    def real_slots(self) -> int:
+        """Return how many requests the instance bears, whatever it announces."""
+        return self.slots + int(self.faults.get("extra_slots", 0))
+
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Run a request in a slot, or shed it."""
-        if self.in_flight >= self.slots + self.faults.get("extra_slots", 0):
+        self.arrived += 1
+        region_slots = sum(one.real_slots for one in self.neighbours)
+        if sum(one.in_flight for one in self.neighbours) >= region_slots:
+            self.over_region += 1
+        if self.in_flight >= self.real_slots:
             self.shed += 1
             if self.faults.get("count_over", True):
                 self.over_slots += 1
@@ -182,6 +195,8 @@
             "in_flight",
             "most_in_flight",
             "over_slots",
+            "arrived",
+            "over_region",
             "most_connections",
             "ran",
             "shed",
@@ -203,20 +218,21 @@
     return runner
 
 
-async def serve(deployment: dict[str, Any], service: str) -> None:
-    """Serve every instance of a service."""
+async def serve(deployment: dict[str, Any], service: str, region: str | None) -> None:
+    """Serve every instance of a service, or only those of one region."""
     times = {one["id"]: one.get("service_ms", 20.0) for one in deployment["services"]}
-    for line in deployment["instances"]:
-        if line["service"] == service:
-            fields = {name: line[name] for name in ("id", "service", "host", "port")}
-            await listen(
-                Instance(
-                    **fields,
-                    slots=line["slots"],
-                    connections=line["connections"],
-                    service_ms=times[service],
-                )
-            )
+    regions = {zone["id"]: zone["region"] for zone in deployment["zones"]}
+    names = ("id", "service", "host", "port", "slots", "connections", "zone")
+    instances = [
+        Instance(**{name: line[name] for name in names}, service_ms=times[service])
+        for line in deployment["instances"]
+        if line["service"] == service and region in (None, regions[line["zone"]])
+    ]
+    for one in instances:
+        one.neighbours = [
+            other for other in instances if regions[other.zone] == regions[one.zone]
+        ]
+        await listen(one)
     await asyncio.Event().wait()
 
 
@@ -226,11 +242,12 @@
     parser = argparse.ArgumentParser()
     parser.add_argument("--deployment", type=Path, required=True)
     parser.add_argument("--service", required=True)
+    parser.add_argument("--region")
     arguments = parser.parse_args()
     import uvloop
 
     deployment = json.loads(arguments.deployment.read_text(encoding="utf-8"))
-    uvloop.run(serve(deployment, arguments.service))
+    uvloop.run(serve(deployment, arguments.service, arguments.region))
 
 
 if __name__ == "__main__":
--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -32,7 +32,7 @@
     entry: EntryId
     deployment: Path
     blocks: Path | None = None
-    policy: str = "baseline"
+    policy: str = "ranked"
     lookup_ttl_s: Annotated[float, Field(gt=0, le=300)] = 5.0
     heartbeat_s: Annotated[float, Field(gt=0)] = 1.0
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
