--- a/src/masticdeck/clock.py
+++ b/src/masticdeck/clock.py
@@ -5,7 +5,7 @@
 import time
 
 NANOSECONDS = 1_000_000_000
-LOGICAL_BITS = 16
+LOGICAL_BITS = 12
 LOGICAL_MASK = (1 << LOGICAL_BITS) - 1
 
 
@@ -19,10 +19,11 @@
 
 
 class HybridClock:
-    """Hybrid logical clock: wall time in microseconds and a 16-bit counter.
+    """Hybrid logical clock: wall time in microseconds and a 12-bit counter.
 
-    Stamps are integers; a stamp taken after receiving a message is larger
-    than the stamp the message carried, whatever the two wall clocks say.
+    Stamps are integers below 2**63, so that they fit into messages; a stamp
+    taken after receiving a message is larger than the stamp the message
+    carried, whatever the two wall clocks say.
     Source: Kulkarni et al., "Logical Physical Clocks", 2014.
 
     >>> clock = HybridClock()
--- a/src/masticdeck/programs/entry.py
+++ b/src/masticdeck/programs/entry.py
@@ -42,7 +42,8 @@
         from masticdeck.state.deployment import read_model
 
         config = Config.model_validate(read_model(command.settings, Config))
-        configure_logging(style=config.log_format, level=config.log_level)
+        level = "error" if command.check_settings else config.log_level
+        configure_logging(style=config.log_format, level=level)
         application = build_entry(config)
         if command.check_settings:
             print("settings valid")
--- a/src/masticdeck/programs/runtime.py
+++ b/src/masticdeck/programs/runtime.py
@@ -50,17 +50,28 @@
 
 
 async def serve(application: Application) -> int:
-    """Start an application, wait for SIGTERM or SIGINT, and stop it."""
+    """Start an application, wait for SIGTERM or SIGINT, and stop it.
+
+    SIGUSR1 turns debug logging on and SIGUSR2 back to the level of the start.
+    """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    level = logging.getLogger().level
+    loop.add_signal_handler(signal.SIGUSR1, set_level, logging.DEBUG)
+    loop.add_signal_handler(signal.SIGUSR2, set_level, level)
     await application.start()
     await stopping.wait()
     await application.stop()
     return EXIT_OK
 
 
+def set_level(level: int) -> None:
+    """Change the level of all log output of this process."""
+    logging.getLogger().setLevel(level)
+
+
 def configure_logging(*, style: str, level: str) -> None:
     """Send log records to standard error, plain or as JSON."""
     from aiomisc.log import LogFormat, basic_config
--- /dev/null
+++ b/testing/programs/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the programs."""
+
+from __future__ import annotations
