--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -76,10 +76,12 @@
         service_ms: dict[str, float] | None = None,
         settings: dict[str, Any] | None = None,
         backends: bool = True,
+        split_backends: bool = False,
     ) -> None:
         self.deployment = place(example, entries=entries, overrides=service_ms)
         self.settings = settings or {}
         self.with_backends = backends
+        self.split_backends = split_backends
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="masticdeck-"))
         self.stack = AsyncExitStack()
@@ -145,21 +147,50 @@
         if not self.with_backends:
             return
         for service in self.deployment["services"]:
-            await self.spawn(
-                f"backend-{service['id']}",
-                "bench.standins.backend",
-                "--deployment",
-                str(self.deployment_path),
-                "--service",
-                service["id"],
-            )
+            for region in self.backend_regions():
+                await self.start_backend(service["id"], region)
         for instance in self.deployment["instances"]:
             url = f"{self.instance_url(instance['id'])}/stats"
-            await self.ready(f"backend-{instance['service']}", url)
+            await self.ready(self.backend_name(instance), url)
+
+    def backend_regions(self) -> list[str | None]:
+        """Return the regions with backend processes of their own, or one None."""
+        if not self.split_backends:
+            return [None]
+        return list(dict.fromkeys(zone["region"] for zone in self.deployment["zones"]))
+
+    def backend_name(self, instance: dict[str, Any]) -> str:
+        """Return the name of the process that serves an instance."""
+        if not self.split_backends:
+            return f"backend-{instance['service']}"
+        return f"backend-{instance['service']}-{self.region_of(instance['zone'])}"
+
+    def region_of(self, zone: str) -> str:
+        """Return the region of a zone."""
+        zones = {one["id"]: str(one["region"]) for one in self.deployment["zones"]}
+        return zones[zone]
+
+    async def start_backend(self, service: str, region: str | None) -> None:
+        """Start the instances of a service, or of one region of it."""
+        name = f"backend-{service}" if region is None else f"backend-{service}-{region}"
+        where = [] if region is None else ["--region", region]
+        await self.spawn(
+            name,
+            "bench.standins.backend",
+            "--deployment",
+            str(self.deployment_path),
+            "--service",
+            service,
+            *where,
+        )
+
+    def deployment_for(self, entry: str) -> Path:
+        """Return the deployment file that an entry reads."""
+        return self.deployment_path
 
     async def start_entry(self, entry: str) -> None:
         """Start an entry and wait until it serves."""
-        settings = {"entry": entry, "deployment": str(self.deployment_path)}
+        settings = {"entry": entry, "deployment": str(self.deployment_for(entry))}
         path = self.folder / f"{entry}.json"
         path.write_text(json.dumps(settings | self.settings), encoding="utf-8")
         await self.spawn(entry, "masticdeck.programs.entry", "--settings", str(path))
@@ -236,6 +267,8 @@
         """Return the counters of every instance."""
         stats: dict[str, dict[str, Any]] = {}
         for instance in self.deployment["instances"]:
+            if self.processes[self.backend_name(instance)].returncode is not None:
+                continue
             url = f"{self.instance_url(instance['id'])}/stats"
             async with self.session.get(url) as response:
                 stats[instance["id"]] = await response.json()
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -3,10 +3,13 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
+import masticdeck.coordination.ranked  # noqa: F401
 from masticdeck.application import Application
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
@@ -28,6 +31,9 @@
 from masticdeck.state.deployment import load_deployment
 from masticdeck.transport.peers import PeerChannels, PeerServer, StampExchange
 
+if TYPE_CHECKING:
+    from grpclib._typing import IServable
+
 
 def build_entry(config: Config) -> Application:
     """Return the application of an entry, not yet started."""
@@ -51,6 +57,7 @@
         vms=vms,
         peers=peers,
     )
+    membership = Membership(node)
     slots = StaticSlots(deployment, node.id)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
@@ -58,7 +65,7 @@
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
     forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
-    services = [OrderService(orders)]
+    services: list[IServable] = [OrderService(orders), membership.links]
     server = EntryServer(
         node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
     )
@@ -69,6 +76,7 @@
         peers,
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
+        membership,
         backends,
         server,
     ):
