Roll accepted configurations out to every entry and never go back

Cause: an accepted version reached no entry. Change: two entries per zone watch the ledger; the others follow them by one kept gRPC stream each, and watchers follow a watcher of the next zone. An entry takes only larger versions, refuses until the store or a peer that knows has answered, and catches up before it serves a caller who has seen more.

--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -47,3 +47,5 @@
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
     peer_tls: TlsSettings | None = None
     operator_tokens: Path | None = None
+    veto_window_s: Annotated[float, Field(gt=0)] = 60.0
+    watchers_per_zone: Annotated[int, Field(ge=1)] = 2
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 import masticdeck.coordination.ranked  # noqa: F401
-from masticdeck.application import Application
+from masticdeck.application import Application, Component
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
 from masticdeck.coordination.membership import Membership
@@ -14,6 +14,7 @@
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.slots import StaticSlots
+from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -64,21 +65,31 @@
     metrics = Metrics(zone=node.entry.zone)
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
-    forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
+    configuration = build_configuration(node, membership)
+    forwarder = Forwarder(
+        node, policy, backends, metrics, order_forwarder, configuration.rollout
+    )
     services: list[IServable] = [OrderService(orders), membership.links]
+    services.append(configuration.service)
     server = EntryServer(
-        node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
+        node,
+        Lookup(node, home=orders),
+        forwarder,
+        Inspection(node, metrics),
+        configuration.api,
     )
     application = Application(events)
-    for component in (
+    components: list[Component] = [
         store,
         vms,
         peers,
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
+        *configuration.components,
         backends,
         server,
-    ):
+    ]
+    for component in components:
         application.add(component)
     return application
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -11,6 +11,7 @@
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
+from masticdeck.coordination.rollout import Rollout, parse_version
 from masticdeck.coordination.slots import Slot
 from masticdeck.entry.order_forward import OrderForwarder, is_order
 from masticdeck.entry.problem import error_response
@@ -44,12 +45,14 @@
         backends: Backends,
         metrics: Metrics,
         orders: OrderForwarder,
+        rollout: Rollout,
     ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
         self.metrics = metrics
         self.orders = orders
+        self.rollout = rollout
         self.sequence = 0
         self.in_flight = 0
 
@@ -59,6 +62,9 @@
         call: Call | None = None
         try:
             call = self.parse(request)
+            seen = parse_version(request.headers.get(headers.VERSION))
+            if not self.rollout.serves(seen):
+                await self.rollout.require(seen, deadline=call.deadline)
             self.node.events.emit(
                 Code.REQUEST_RECEIVED,
                 level=logging.DEBUG,
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -7,6 +7,7 @@
 from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
+from masticdeck.entry.operators import PREFIX, OperatorApi
 from masticdeck.entry.problem import error_response
 from masticdeck.errors import RequestInvalid
 from masticdeck.node import Node
@@ -21,11 +22,13 @@
         lookup: Lookup,
         forwarder: Forwarder,
         inspection: Inspection,
+        operators: OperatorApi,
     ) -> None:
         self.node = node
         self.lookup = lookup
         self.forwarder = forwarder
         self.inspection = inspection
+        self.operators = operators
         self.runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -55,6 +58,8 @@
             return await self.forwarder.handle(request)
         if path.startswith("/lookup") and path[7:8] in ("", "?"):
             return await self.lookup.handle(request)
+        if path.startswith(PREFIX):
+            return await self.operators.handle(request)
         page = self.inspection.answer(request)
         if page is not None:
             return page
