--- a/src/masticdeck/coordination/region_owner.py
+++ b/src/masticdeck/coordination/region_owner.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import logging
+from contextlib import suppress
 
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 
@@ -57,6 +58,7 @@
         self.reported: set[EntryId] = set()
         self.settle_at = 0.0
         self.settled = False
+        self.wake = asyncio.Event()
         self.outlasting = False
         self.prior_owner: EntryId | None = None
         self.tasks: set[asyncio.Task[None]] = set()
@@ -97,7 +99,10 @@
                 self.change(self.ownership.token)
             if self.token:
                 self.check()
-            await asyncio.sleep(CHECK_S)
+            with suppress(TimeoutError):
+                async with asyncio.timeout(CHECK_S):
+                    await self.wake.wait()
+            self.wake.clear()
 
     async def stop(self) -> None:
         """End every session."""
--- a/src/masticdeck/coordination/share_holder.py
+++ b/src/masticdeck/coordination/share_holder.py
@@ -8,7 +8,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.holding import Holding
 from masticdeck.coordination.membership import Membership
-from masticdeck.coordination.ownership import Fence, rank_candidates
+from masticdeck.coordination.ownership import CANDIDATES, Fence, rank_candidates
 from masticdeck.coordination.share_session import HolderSession
 from masticdeck.coordination.slots import Slot
 from masticdeck.coordination.units import Unit, encode_units
@@ -48,6 +48,8 @@
         self.sessions: dict[RegionId, HolderSession] = {}
         self.wakes: dict[RegionId, asyncio.Event] = {}
         self.numbers = 0
+        self.attempts = dict.fromkeys(node.deployment.regions, -1)
+        self.joined = asyncio.Event()
         self.tasks: list[asyncio.Task[None]] = []
         self.stopping = False
         self.by_service: dict[ServiceId, list[InstanceId]] = {}
@@ -193,7 +195,9 @@
         hint = self.hints.pop(region, None)
         if hint is not None:
             return hint
-        return rank_candidates(self.membership, f"region/{region}", region)[0]
+        order = rank_candidates(self.membership, f"region/{region}", region)
+        self.attempts[region] += 1
+        return order[self.attempts[region] % min(CANDIDATES, len(order))]
 
     def read_back(self, region: RegionId, token: FencingToken) -> ReadBackAnswer:
         """Tell a new owner what is held, and refuse older owners from now on."""
@@ -233,4 +237,7 @@
 
     def note_joined(self, region: RegionId, owner: EntryId) -> None:
         """Record that an owner has answered with a grant."""
+        self.attempts[region] = -1
+        if region == self.region or self.region not in self.holdings:
+            self.joined.set()
         self.node.events.emit(Code.SHARES_JOINED, region=region, entry=owner)
--- a/src/masticdeck/coordination/shares.py
+++ b/src/masticdeck/coordination/shares.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import suppress
 
 from grpclib.server import Stream
 
@@ -22,6 +23,8 @@
     Report,
 )
 
+START_WAIT_S = 2.0
+
 
 class Shares(SharesBase):
     """Competes for every region that has instances, and serves the streams.
@@ -46,11 +49,18 @@
         node.hooks.register(self)
 
     async def start(self) -> None:
-        """Begin to hold shares and to compete for regions."""
+        """Begin to compete for regions, and wait for the first shares.
+
+        The wait is short, so that an entry also starts while the store is
+        down; it then has no slots until an owner answers.
+        """
         await self.holder.start()
         for owner in self.owners.values():
             await owner.ownership.start()
             self.tasks.append(asyncio.create_task(owner.run(), name=owner.name))
+        with suppress(TimeoutError):
+            async with asyncio.timeout(START_WAIT_S):
+                await self.holder.joined.wait()
 
     async def stop(self) -> None:
         """Give up the regions and the shares."""
@@ -66,6 +76,15 @@
         """Let other entries become owners at once."""
         await asyncio.gather(*(one.ownership.stop() for one in self.owners.values()))
 
+    @hookimpl
+    def ownership_changed(
+        self, name: str, owner: EntryId | None, token: FencingToken
+    ) -> None:
+        """Take a region over, or stop granting, without delay."""
+        for one in self.owners.values():
+            if one.name == name:
+                one.wake.set()
+
     @hookimpl
     def entry_leaving(self) -> None:
         """Hand the regions over before the entry stops serving."""
