--- a/src/masticdeck/programs/timeline.py
+++ b/src/masticdeck/programs/timeline.py
@@ -97,6 +97,7 @@
         while command.follow:
             await asyncio.sleep(FOLLOW_PERIOD_S)
             new = await collect(session, urls, timeline)
+            append(command, new)
             print_events(command, sorted(filter(chosen.keeps, new), key=event_stamp))
     return EXIT_OK
 
@@ -142,19 +143,17 @@
 
     A process that does not answer is passed over; what it told before stays.
     """
-    answers = await asyncio.gather(*(drain(session, url) for url in urls))
-    return [event for answer in answers for event in timeline.add(answer)]
+    answers = await asyncio.gather(*(read_on(session, url, timeline) for url in urls))
+    return [event for answer in answers for event in answer]
 
 
-async def drain(session: ClientSession, url: str) -> list[Event]:
-    """Return all events that one process holds."""
+async def read_on(session: ClientSession, url: str, timeline: Timeline) -> list[Event]:
+    """Return the events of one process that were not read before."""
     events: list[Event] = []
-    while True:
-        after = events[-1].stamp if events else 0
-        part = await fetch_events(session, url, after)
-        if not part:
-            return events
-        events += part
+    while part := await fetch_events(session, url, timeline.read_until.get(url, 0)):
+        timeline.read_until[url] = part[-1].stamp
+        events += timeline.add(part)
+    return events
 
 
 def write(command: TimelineCommand, timeline: Timeline, events: list[Event]) -> None:
@@ -167,6 +166,13 @@
     print_events(command, events)
 
 
+def append(command: TimelineCommand, events: list[Event]) -> None:
+    """Add newly collected events to the file that ``--save`` names."""
+    if command.save is not None and events:
+        with command.save.open("ab") as file:
+            file.write(encode_events(sorted(events, key=event_stamp)))
+
+
 def print_events(command: TimelineCommand, events: list[Event]) -> None:
     """Print events as text or as JSON lines."""
     if command.json:
--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -20,7 +20,6 @@
 VERSION = "Masticdeck-Version"
 DRAINING = "Masticdeck-Draining"
 INSTANCE = "Masticdeck-Instance"
-STAMP = "Masticdeck-Stamp"
 ATTEMPT = "Masticdeck-Attempt"
 
 URGENCY = {Rank.URGENT: 1, Rank.MIDDLE: 3, Rank.LOW: 6}
--- a/src/masticdeck/state/timeline.py
+++ b/src/masticdeck/state/timeline.py
@@ -38,12 +38,13 @@
     """Events of all processes in the order of their hybrid stamps.
 
     An event that arrives twice is kept once. Events stay when the process that
-    they came from has ended.
+    they came from has ended. ``read_until`` is the stamp up to which each feed
+    has been read, by its address.
     """
 
     def __init__(self) -> None:
         self.events: dict[tuple[str, int], Event] = {}
-        self.latest: dict[str, int] = {}
+        self.read_until: dict[str, int] = {}
 
     def add(self, events: Iterable[Event]) -> list[Event]:
         """Add events and return those that were new."""
@@ -53,8 +54,6 @@
             if key in self.events:
                 continue
             self.events[key] = event
-            latest = self.latest.get(event.process, 0)
-            self.latest[event.process] = max(latest, event.stamp)
             new.append(event)
         return new
 
