Give each started fleet a loopback address of its own

Cause: a port found free was taken by another process's outgoing connection before its use (address already in use, seen with several fleets side by side), because it came from the range of outgoing connections. Change: each fleet has its own address of 127.0.0.0/8, and ports below that range.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import shutil
@@ -14,7 +15,7 @@
 import socket
 import sys
 import tempfile
-from contextlib import AsyncExitStack
+from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
 
@@ -25,18 +26,41 @@
 READY_TIMEOUT_S = 30.0
 READY_POLL_S = 0.05
 STOP_TIMEOUT_S = 30.0
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
+PORT_STEP = 200
+
+address_numbers = itertools.count()
+port_offsets = itertools.cycle(range(0, 20_000, PORT_STEP))
+
+
+def loopback_address() -> str:
+    """Return an address of 127.0.0.0/8 that no other starter of processes uses.
+
+    Fleets that are started side by side, by this process or others, then can't
+    take each other's ports between the check of a port and its use.
+    """
+    number = next(address_numbers)
+    pid = os.getpid()
+    return f"127.{1 + (pid >> 16) % 200}.{pid >> 8 & 255}.{1 + (pid + number) % 254}"
 
 
 def free_ports(count: int, host: str = "127.0.0.1") -> list[int]:
-    """Return ports that were free a moment ago, all different."""
-    sockets = [socket.socket() for _ in range(count)]
-    try:
-        for one in sockets:
-            one.bind((host, 0))
-        return [one.getsockname()[1] for one in sockets]
-    finally:
-        for one in sockets:
-            one.close()
+    """Return ports that were free a moment ago, all different.
+
+    They lie below the range from which outgoing connections take theirs.
+    """
+    found: list[int] = []
+    start = FIRST_PORT + next(port_offsets)
+    for port in range(start, LAST_PORT):
+        if len(found) == count:
+            return found
+        with socket.socket() as one:
+            one.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            with suppress(OSError):
+                one.bind((host, port))
+                found.append(port)
+    raise RuntimeError(f"no {count} free ports on {host}")
 
 
 def place(
@@ -52,12 +76,13 @@
         deployment["entries"] = deployment["entries"][:entries]
     nodes = deployment["entries"]
     instances = deployment["instances"]
-    ports = iter(free_ports(2 * len(nodes) + len(instances) + 1))
+    host = loopback_address()
+    ports = iter(free_ports(2 * len(nodes) + len(instances) + 1, host))
     for node in nodes:
-        node.update(host="127.0.0.1", http_port=next(ports), peer_port=next(ports))
+        node.update(host=host, http_port=next(ports), peer_port=next(ports))
     for instance in instances:
-        instance.update(host="127.0.0.1", port=next(ports))
-    deployment["platform"] = {"host": "127.0.0.1", "port": next(ports)}
+        instance.update(host=host, port=next(ports))
+    deployment["platform"] = {"host": host, "port": next(ports)}
     for service in deployment["services"]:
         service["service_ms"] = (overrides or {}).get(
             service["id"], service.get("service_ms", 20.0)
@@ -141,8 +166,11 @@
 
     async def start_standins(self) -> None:
         """Start the platform and one backend process for each service."""
-        port = str(self.deployment["platform"]["port"])
-        await self.spawn("platform", "bench.standins.platform", "--port", port)
+        platform = self.deployment["platform"]
+        host, port = platform["host"], str(platform["port"])
+        await self.spawn(
+            "platform", "bench.standins.platform", "--host", host, "--port", port
+        )
         await self.ready("platform", f"{self.platform_url}/stats")
         if not self.with_backends:
             return
