--- a/src/masticdeck/coordination/owner_session.py
+++ b/src/masticdeck/coordination/owner_session.py
@@ -39,7 +39,7 @@
         self.idle: Counter[ServiceId] = Counter()
         self.next: Counter[ServiceId] = Counter()
         self.wake = asyncio.Event()
-        self.task = asyncio.current_task()
+        self.task: asyncio.Task[None] | None = None
         self.holder: Holder = owner.join(report, self)
 
     def end(self) -> None:
@@ -49,6 +49,7 @@
 
     async def run(self, stream: Stream[Report, Grant], first: Report) -> None:
         """Serve the stream until it ends or this node may not grant any more."""
+        self.task = asyncio.current_task()
         sender = asyncio.create_task(self.send(stream))
         reader = asyncio.create_task(self.read(stream, first))
         try:
--- a/src/masticdeck/coordination/region_owner.py
+++ b/src/masticdeck/coordination/region_owner.py
@@ -25,7 +25,11 @@
 from masticdeck.ids import EntryId, FencingToken, Incarnation, RegionId, Revision
 from masticdeck.node import Node
 from masticdeck.protocol.generated.shares_grpc import SharesStub
-from masticdeck.protocol.generated.shares_pb2 import ReadBackRequest, Report
+from masticdeck.protocol.generated.shares_pb2 import (
+    ReadBackAnswer,
+    ReadBackRequest,
+    Report,
+)
 from masticdeck.protocol.store import ABSENT
 
 CHECK_S = 0.1
@@ -177,13 +181,15 @@
                 break
             except MasticdeckError:
                 await asyncio.sleep(RECORD_RETRY_S)
-        if self.token != token:
-            return
+        if self.token == token:
+            self.note_prior(prior)
+
+    def note_prior(self, prior: EntryId | None) -> None:
+        """Take into account who owned the region last, if anyone did."""
+        self.prior_owner = prior
         if prior is None:
             self.settle_at = boottime()
-        else:
-            self.prior_owner = prior
-            self.shorten()
+        self.shorten()
 
     def shorten(self) -> None:
         """Wait less once the earlier owner is known to grant no more."""
@@ -203,15 +209,29 @@
             except READ_BACK_FAULTS:
                 await asyncio.sleep(READ_BACK_RETRY_S)
                 continue
-            if self.token != token or not answer.accepted:
-                return
-            if entry not in self.reported:
-                now = boottime()
-                incarnation = Incarnation(answer.incarnation)
-                holder = self.ledger.holder(entry, incarnation, now)
-                self.ledger.promise(holder, now + answer.valid_ms / 1000)
-                self.ledger.claim(holder, decode_units(answer.units))
-            break
+            self.take_answer(entry, token, answer)
+            return
+        self.settle_entry(entry, token)
+
+    def take_answer(
+        self, entry: EntryId, token: FencingToken, answer: ReadBackAnswer
+    ) -> None:
+        """Enter what an entry says that it holds.
+
+        A session that has begun meanwhile knows better.
+        """
+        if self.token != token or not answer.accepted:
+            return
+        if entry not in self.reported:
+            now = boottime()
+            incarnation = Incarnation(answer.incarnation)
+            holder = self.ledger.holder(entry, incarnation, now)
+            self.ledger.promise(holder, now + answer.valid_ms / 1000)
+            self.ledger.claim(holder, decode_units(answer.units))
+        self.settle_entry(entry, token)
+
+    def settle_entry(self, entry: EntryId, token: FencingToken) -> None:
+        """Note that an entry takes no grant of an earlier owner any more."""
         if self.token == token:
             self.unsettled.discard(entry)
             self.shorten()
--- a/src/masticdeck/coordination/share_holder.py
+++ b/src/masticdeck/coordination/share_holder.py
@@ -47,6 +47,7 @@
         self.hints: dict[RegionId, EntryId] = {}
         self.sessions: dict[RegionId, HolderSession] = {}
         self.wakes: dict[RegionId, asyncio.Event] = {}
+        self.near_services: set[ServiceId] = set()
         self.numbers = 0
         self.attempts = dict.fromkeys(node.deployment.regions, -1)
         self.joined = asyncio.Event()
@@ -65,12 +66,15 @@
             services.setdefault(region, {})[instance.id] = instance.service
             self.region_of[instance.id] = region
             self.by_service.setdefault(instance.service, []).append(instance.id)
+        self.near_services = set(services.get(self.region, {}).values())
         for region, found in services.items():
             self.holdings[region] = Holding(region, found)
             self.wakes[region] = asyncio.Event()
 
     async def start(self) -> None:
         """Begin to ask the owners for shares."""
+        if self.region not in self.holdings:
+            self.joined.set()
         self.tasks = [
             asyncio.create_task(self.run(region), name=f"shares {region}")
             for region in self.holdings
@@ -158,8 +162,7 @@
         since = self.waiting_since.get(service)
         if since is None:
             return 0
-        near = self.holdings[self.region].service_of.values()
-        if region == self.region or service not in near:
+        if region == self.region or service not in self.near_services:
             return self.waiting[service]
         return self.waiting[service] if boottime() - since >= FAR_DELAY_S else 0
 
@@ -238,6 +241,6 @@
     def note_joined(self, region: RegionId, owner: EntryId) -> None:
         """Record that an owner has answered with a grant."""
         self.attempts[region] = -1
-        if region == self.region or self.region not in self.holdings:
+        if region == self.region:
             self.joined.set()
         self.node.events.emit(Code.SHARES_JOINED, region=region, entry=owner)
