--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -76,10 +76,12 @@
         service_ms: dict[str, float] | None = None,
         settings: dict[str, Any] | None = None,
         backends: bool = True,
+        entry_settings: dict[str, dict[str, Any]] | None = None,
     ) -> None:
         self.deployment = place(example, entries=entries, overrides=service_ms)
         self.settings = settings or {}
         self.with_backends = backends
+        self.entry_settings = entry_settings or {}
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="masticdeck-"))
         self.stack = AsyncExitStack()
@@ -161,7 +163,8 @@
         """Start an entry and wait until it serves."""
         settings = {"entry": entry, "deployment": str(self.deployment_path)}
         path = self.folder / f"{entry}.json"
-        path.write_text(json.dumps(settings | self.settings), encoding="utf-8")
+        settings |= self.settings | self.entry_settings.get(entry, {})
+        path.write_text(json.dumps(settings), encoding="utf-8")
         await self.spawn(entry, "masticdeck.programs.entry", "--settings", str(path))
         await self.ready(entry, f"{self.entry_url(entry)}/-/ready")
 
