--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -25,6 +25,8 @@
 
     Times are in seconds unless the name says otherwise. ``policy`` names a
     registered policy; ``lookup_ttl_s`` is how long callers may keep an answer.
+    ``header_timeout_s`` bounds the arrival of a request's head, ``answer_stall_s``
+    the pauses in a large answer.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -37,6 +39,9 @@
     heartbeat_s: Annotated[float, Field(gt=0)] = 1.0
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    keep_alive_s: Annotated[float, Field(gt=0)] = 75.0
+    header_timeout_s: Annotated[float, Field(gt=0)] = 10.0
+    answer_stall_s: Annotated[float, Field(gt=0)] = 2.0
     stop_grace_s: Annotated[float, Field(gt=0)] = 20.0
     max_header_bytes: Annotated[int, Field(ge=1024)] = 16_384
     max_order_bytes: Annotated[int, Field(gt=0)] = 1_048_576
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -6,15 +6,17 @@
 import logging
 import time
 
-from aiohttp import ClientError, ClientResponse, web
+from aiohttp import ClientResponse, web
 from multidict import CIMultiDict
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
 from masticdeck.coordination.slots import Slot
+from masticdeck.entry.delivery import SMALL_ANSWER_BYTES, Delivery
 from masticdeck.entry.order_forward import OrderForwarder, is_order
 from masticdeck.entry.problem import error_response
 from masticdeck.errors import (
+    BodyTooSlow,
     DeadlinePassed,
     MasticdeckError,
     OutcomeUnknown,
@@ -22,7 +24,15 @@
     ServiceUnknown,
 )
 from masticdeck.events import Code
-from masticdeck.ids import CustomerId, InstanceId, Outcome, RequestId, ServiceId
+from masticdeck.hookspec import hookimpl
+from masticdeck.ids import (
+    CustomerId,
+    InstanceId,
+    Outcome,
+    RequestId,
+    ServiceId,
+    Version,
+)
 from masticdeck.metrics import Metrics
 from masticdeck.node import Node
 from masticdeck.protocol import headers
@@ -31,8 +41,9 @@
 
 SERVICE_PREFIX = "/service/"
 MAX_TIMEOUT_MS = 120_000
-SMALL_ANSWER_BYTES = 65_536
 MAX_ATTEMPTS = 2
+MAX_RESUMPTIONS = 4
+REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 
 
 class Forwarder:
@@ -53,6 +64,8 @@
         self.orders = orders
         self.sequence = 0
         self.in_flight = 0
+        self.version = Version(0)
+        node.hooks.register(self)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
@@ -93,6 +106,7 @@
         service = self.node.deployment.service_by_id.get(ServiceId(service_text))
         if service is None:
             raise ServiceUnknown(repr(service_text[:64]))
+        check_request(request)
         fields = request.headers
         rank = headers.parse_priority(fields.get(headers.PRIORITY, "")) or service.rank
         wait_ms = parse_timeout(fields.get(headers.TIMEOUT_MS))
@@ -113,18 +127,30 @@
 
     async def attempt(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         """Try instances until one answers or no further try is allowed."""
+        delivery = Delivery(request, call, stall_s=self.node.config.answer_stall_s)
         tried: frozenset[InstanceId] = frozenset()
-        while True:
-            slot = await self.policy.acquire(call, avoid=tried)
-            try:
-                return await self.send(request, call, slot)
-            except (BackendNotReached, BackendBroken) as error:
-                tried |= {slot.instance}
-                if len(tried) >= MAX_ATTEMPTS or not may_retry(request, call, error):
-                    raise
+        try:
+            while True:
+                slot = await self.policy.acquire(call, avoid=tried)
+                try:
+                    return await self.send(delivery, call, slot)
+                except (BackendNotReached, BackendBroken) as error:
+                    tried |= {slot.instance}
+                    if not may_go_on(delivery, call, error, len(tried)):
+                        raise
+        except MasticdeckError as error:
+            if not delivery.begun:
+                raise
+            self.note_error(call, error)
+            delivery.cut()
+            raise ConnectionResetError(str(error)) from error
+        except BaseException:
+            if delivery.begun:
+                delivery.cut()
+            raise
 
     async def send(
-        self, request: web.BaseRequest, call: Call, slot: Slot
+        self, delivery: Delivery, call: Call, slot: Slot
     ) -> web.StreamResponse:
         """Send the request with a slot held, and pass the answer on."""
         began = time.perf_counter()
@@ -135,19 +161,16 @@
             instance=slot.instance,
         )
         end = AttemptEnd.CANCELLED
-        status = 0
+        answer: ClientResponse | None = None
         try:
-            async with asyncio.timeout(call.deadline - boottime()):
-                body = request.content if request.body_exists else None
-                answer = await self.backends.send(
-                    slot.instance, call, forward_fields(request, call), body
-                )
-                status = answer.status
+            async with asyncio.timeout(call.deadline - boottime()) as limit:
+                answer = await self.ask(delivery, call, slot)
                 if is_shed(answer):
                     end = AttemptEnd.SHED
-                    answer.release()
                     raise BackendNotReached(f"{slot.instance} shed the request")
-                response = await self.pass_on(request, answer, slot)
+                if not delivery.bounded and is_large(answer):
+                    limit.reschedule(None)
+                response = await delivery.pass_on(answer, slot.instance, self.version)
                 end = AttemptEnd.ANSWERED
                 return response
         except BackendNotReached:
@@ -158,57 +181,44 @@
             raise
         except TimeoutError:
             end = AttemptEnd.BROKEN
-            raise OutcomeUnknown("the deadline passed while the request ran") from None
+            raise timeout_error(delivery.request) from None
         finally:
-            seconds = time.perf_counter() - began
-            result = AttemptResult(end=end, seconds=seconds, status=status)
-            self.policy.release(slot, call, result)
-            self.node.events.emit(
-                Code.REQUEST_ANSWERED,
-                level=logging.DEBUG,
-                request=call.id,
-                instance=slot.instance,
-                end=end.value,
-                status=status,
-            )
-            self.metrics.record(call.service, call.rank.value, end.value, seconds)
+            status = 0
+            if answer is not None:
+                status = answer.status
+                if end is not AttemptEnd.ANSWERED:
+                    answer.close()
+            self.finish(call, slot, end, status, time.perf_counter() - began)
 
-    async def pass_on(
-        self, request: web.BaseRequest, answer: ClientResponse, slot: Slot
-    ) -> web.StreamResponse:
-        """Copy a backend's answer to the caller without buffering large bodies."""
-        fields = CIMultiDict(
-            (name, value)
-            for name, value in answer.headers.items()
-            if name.lower() not in headers.HOP_BY_HOP
+    async def ask(self, delivery: Delivery, call: Call, slot: Slot) -> ClientResponse:
+        """Send the request, or ask for the rest of an answer that has begun."""
+        request = delivery.request
+        fields = forward_fields(request, call)
+        if delivery.begun:
+            delivery.add_range(fields)
+        body = request.content if request.body_exists else None
+        return await self.backends.send(slot.instance, call, fields, body)
+
+    def finish(
+        self, call: Call, slot: Slot, end: AttemptEnd, status: int, seconds: float
+    ) -> None:
+        """Give the slot back and record how an attempt ended."""
+        result = AttemptResult(end=end, seconds=seconds, status=status)
+        self.policy.release(slot, call, result)
+        self.node.events.emit(
+            Code.REQUEST_ANSWERED,
+            level=logging.DEBUG,
+            request=call.id,
+            instance=slot.instance,
+            end=end.value,
+            status=status,
         )
-        fields[headers.INSTANCE] = slot.instance
-        length = answer.content_length
-        if length is not None and length <= SMALL_ANSWER_BYTES:
-            return await self.pass_small(answer, fields)
-        response = web.StreamResponse(status=answer.status, headers=fields)
-        await response.prepare(request)
-        try:
-            async for chunk in answer.content.iter_any():
-                await response.write(chunk)
-            await response.write_eof()
-        except BaseException:
-            answer.close()
-            if request.transport is not None:
-                request.transport.abort()
-            raise
-        return response
+        self.metrics.record(call.service, call.rank.value, end.value, seconds)
 
-    async def pass_small(
-        self, answer: ClientResponse, fields: CIMultiDict[str]
-    ) -> web.Response:
-        """Read a small answer whole and return it in one piece."""
-        try:
-            body = await answer.read()
-        except (ClientError, OSError) as error:
-            raise BackendBroken(type(error).__name__) from error
-        fields.popall("Content-Length", None)
-        return web.Response(status=answer.status, body=body, headers=fields)
+    @hookimpl
+    def version_in_force(self, version: Version) -> None:
+        """Name the new version in answers."""
+        self.version = version
 
 
 def parse_timeout(value: str | None) -> float | None:
@@ -227,24 +237,50 @@
     return answer.headers.get(headers.OUTCOME) == Outcome.NOT_RUN.value
 
 
-def may_retry(request: web.BaseRequest, call: Call, error: MasticdeckError) -> bool:
-    """Return whether another attempt is safe and the body is still unread."""
-    if request.body_exists:
+def is_large(answer: ClientResponse) -> bool:
+    """Return whether an answer is passed on piece by piece."""
+    size = answer.content_length
+    return size is None or size > SMALL_ANSWER_BYTES
+
+
+def timeout_error(request: web.BaseRequest) -> MasticdeckError:
+    """Return the error for a deadline that passed while the request ran."""
+    if request.body_exists and not request.content.is_eof():
+        return BodyTooSlow()
+    return OutcomeUnknown("the deadline passed while the request ran")
+
+
+def may_go_on(
+    delivery: Delivery, call: Call, error: MasticdeckError, attempts: int
+) -> bool:
+    """Return whether another instance may be tried after an error."""
+    if delivery.begun:
+        return delivery.resumable and attempts < MAX_RESUMPTIONS
+    if delivery.request.body_exists or attempts >= MAX_ATTEMPTS:
         return False
     return call.idempotent or error.outcome is Outcome.NOT_RUN
 
 
 def forward_fields(request: web.BaseRequest, call: Call) -> CIMultiDict[str]:
     """Return the request's end-to-end headers."""
-    named = {
-        name.strip().lower()
-        for name in request.headers.get("Connection", "").split(",")
-    }
-    skip = headers.HOP_BY_HOP | named | {"host", "expect"}
-    fields = CIMultiDict(
-        (name, value)
-        for name, value in request.headers.items()
-        if name.lower() not in skip
-    )
+    fields = request.headers.copy()
+    headers.remove_hop_by_hop(fields)
+    if "Expect" in fields:
+        del fields["Expect"]
     fields[headers.REQUEST_ID] = call.id
     return fields
+
+
+def check_request(request: web.BaseRequest) -> None:
+    """Refuse methods and header values that cannot be passed on.
+
+    Raises RequestInvalid.
+    """
+    if request.method in REFUSED_METHODS:
+        raise RequestInvalid(f"the method {request.method} is not forwarded")
+    if not request.raw_path.isascii() or not request.raw_path.isprintable():
+        raise RequestInvalid("the path holds bytes that must be percent-encoded")
+    try:
+        "".join(request.headers.values()).encode()
+    except UnicodeEncodeError:
+        raise RequestInvalid("a header value is not UTF-8") from None
--- a/src/masticdeck/entry/lookup.py
+++ b/src/masticdeck/entry/lookup.py
@@ -18,8 +18,8 @@
 from urllib.parse import unquote
 
 from aiohttp import web
-from multidict import CIMultiDict
 
+from masticdeck.entry.prepared import PreparedAnswer, may_use_prepared, prepare_tail
 from masticdeck.entry.problem import error_response
 from masticdeck.errors import MasticdeckError, RequestInvalid, ServiceUnknown
 from masticdeck.hookspec import hookimpl
@@ -107,19 +107,30 @@
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request for ``/lookup``."""
         try:
-            body = self.answer(request.raw_path, request.remote or "")
+            tail = self.find(request.raw_path, request)
         except MasticdeckError as error:
             return error_response(error)
-        fields: CIMultiDict[str] = CIMultiDict()
-        fields["Content-Type"] = JSON_TYPE
-        return web.Response(body=body, headers=fields)
+        if may_use_prepared(request):
+            return PreparedAnswer(tail)
+        body = tail.partition(b"\r\n\r\n")[2]
+        return web.Response(body=body, content_type=JSON_TYPE)
 
     def answer(self, raw_path: str, remote: str) -> bytes:
-        """Return the answer to a look-up, given the raw path with its query."""
+        """Return the JSON answer to a look-up, given the raw path with its query."""
         service, client = parse_query(raw_path)
+        tail = self.tail_for(service, client or remote)
+        return tail.partition(b"\r\n\r\n")[2]
+
+    def find(self, raw_path: str, request: web.BaseRequest) -> bytes:
+        """Return the prepared answer for a request."""
+        service, client = parse_query(raw_path)
+        return self.tail_for(service, client or request.remote or "")
+
+    def tail_for(self, service: ServiceId, client: str) -> bytes:
+        """Return the prepared answer for a client of a service."""
         if service not in self.services:
             raise ServiceUnknown(repr(service[:64]))
-        family, address = parse_address(client or remote)
+        family, address = parse_address(client)
         zone = self.zone_of(family, address)
         bucket = bucket_of(family, address)
         region = self.region_of[zone]
@@ -128,10 +139,11 @@
         if self.home is not None:
             self.check_home(self.home.home_token())
         key = (service, zone, region, bucket % ROTATIONS)
-        body = self.answers.get(key)
-        if body is None:
-            body = self.keep(key, self.prepare(*key))
-        return body
+        tail = self.answers.get(key)
+        if tail is None:
+            tail = prepare_tail(self.prepare(*key), JSON_TYPE)
+            self.keep(key, tail)
+        return tail
 
     def zone_of(self, family: int, address: int) -> ZoneId:
         """Return the zone nearest to a client; this entry's when unknown."""
@@ -146,12 +158,11 @@
             self.home_token = token
             self.answers.clear()
 
-    def keep(self, key: tuple[str, ZoneId, RegionId, int], body: bytes) -> bytes:
+    def keep(self, key: tuple[str, ZoneId, RegionId, int], tail: bytes) -> None:
         """Keep a prepared answer, within a bound."""
         if len(self.answers) >= MAX_ANSWERS:
             self.answers.clear()
-        self.answers[key] = body
-        return body
+        self.answers[key] = tail
 
     def prepare(
         self, service: str, zone: ZoneId, region: RegionId, rotation: int
@@ -164,7 +175,7 @@
             "version": self.version,
             "entries": [{"id": entry.id, "url": entry.url} for entry in entries],
         }
-        if self.home_token is not None:
+        if self.home_token:
             document["home"] = self.home_token
         return json.dumps(document).encode()
 
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import asyncio
+
 from aiohttp import web
 
+from masticdeck.entry.connections import CallerConnection, CallerServer
 from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -27,27 +30,35 @@
         self.forwarder = forwarder
         self.inspection = inspection
         self.runner: web.ServerRunner | None = None
+        self.sweeper: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Start to listen."""
-        limit = self.node.config.max_header_bytes
-        server = web.Server(
-            self.handle,
-            access_log=None,
-            max_line_size=limit,
-            max_field_size=limit,
-            handler_cancellation=True,
-        )
+        server = CallerServer(self.serve, self.node.config)
         self.runner = web.ServerRunner(server, shutdown_timeout=1.0)
         await self.runner.setup()
         entry = self.node.entry
         await web.TCPSite(self.runner, entry.host, entry.http_port).start()
+        self.sweeper = asyncio.create_task(server.sweep())
 
     async def stop(self) -> None:
         """Stop listening and close the connections."""
+        if self.sweeper is not None:
+            self.sweeper.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
 
+    async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Serve one request and tell its connection of the beginning and end."""
+        connection = request.protocol
+        if not isinstance(connection, CallerConnection):
+            return await self.handle(request)
+        connection.begin()
+        try:
+            return await self.handle(request)
+        finally:
+            connection.end()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Dispatch one request."""
         path = request.raw_path
--- a/src/masticdeck/errors.py
+++ b/src/masticdeck/errors.py
@@ -91,6 +91,36 @@
     outcome = Outcome.NOT_RUN
 
 
+class FieldsTooLarge(MasticdeckError):
+    """The request line or a header is larger than the settings allow."""
+
+    code = "MD2005"
+    title = "request line or header too large"
+    remedy = "send a shorter path and shorter headers"
+    status = 431
+    outcome = Outcome.NOT_RUN
+
+
+class HeadTooSlow(MasticdeckError):
+    """The head of a request did not arrive within the time for it."""
+
+    code = "MD2006"
+    title = "request head too slow"
+    remedy = "send the request line and the headers at once"
+    status = 408
+    outcome = Outcome.NOT_RUN
+
+
+class BodyTooSlow(MasticdeckError):
+    """The deadline passed before the whole body of a request arrived."""
+
+    code = "MD2007"
+    title = "request body too slow"
+    remedy = "send the body faster or ask with a longer timeout"
+    status = 408
+    outcome = Outcome.UNKNOWN
+
+
 class Overloaded(MasticdeckError):
     """No slot can serve the request within the agreed wait."""
 
--- a/src/masticdeck/protocol/backend.py
+++ b/src/masticdeck/protocol/backend.py
@@ -1,27 +1,46 @@
-"""Requests to backend servers over HTTP, with the proof of what did not run."""
+"""Requests to backend servers over HTTP, with the proof of what did not run.
+
+Requests are put straight on a pooled connection: no cookies are kept, nothing
+is redirected, and nothing is sent a second time, as ``ClientSession.request``
+would do for PUT and DELETE on a connection that broke. What fails before the
+connection is had is BackendNotReached; what fails after it is BackendBroken.
+"""
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable
+import asyncio
+from collections.abc import AsyncIterable, Iterable
+from typing import Any, final
 
 from aiohttp import (
     ClientConnectorError,
     ClientError,
+    ClientRequest,
     ClientResponse,
     ClientSession,
     ClientTimeout,
     TCPConnector,
 )
 from multidict import CIMultiDict
+from yarl import URL
 
 from masticdeck.clock import boottime
 from masticdeck.errors import MasticdeckError
-from masticdeck.ids import InstanceId, Outcome
+from masticdeck.ids import InstanceId, Outcome, Rank
 from masticdeck.protocol import headers
 from masticdeck.protocol.call import Call
-from masticdeck.state.deployment import Deployment
+from masticdeck.state.deployment import Deployment, Instance
 
 KEEP_ALIVE_S = 30.0
+CONNECT_TIMEOUT_S = 5.0
+READ_BUFFER_BYTES = 65_536
+MAX_FIELD_BYTES = 32_768
+MAX_FIELDS = 256
+LIVES = 2
+"""Incarnations of an entry whose connections an instance may hold at once."""
+
+CONNECT_TIMEOUT = ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S)
+PRIORITIES = {rank: headers.format_priority(rank) for rank in Rank}
 
 
 class BackendNotReached(MasticdeckError):
@@ -44,29 +63,63 @@
     outcome = Outcome.UNKNOWN
 
 
+@final
+class BackendRequest(ClientRequest):
+    """Request whose headers are sent as given, without the library's own."""
+
+    def update_headers(self, headers: Any) -> None:
+        """Take the headers over as they are, Host included."""
+        self.headers = headers
+
+    def update_auto_headers(self, skip_auto_headers: Iterable[str] | None) -> None:
+        """Add nothing."""
+
+
+def connection_part(connections: int, entries: int) -> int:
+    """Return how many connections to an instance one entry may hold.
+
+    The parts of all entries together stay within ``connections``, also while
+    the instance still holds those of an entry that died and was replaced.
+
+    >>> connection_part(330, 9)
+    18
+    """
+    return connections // (LIVES * entries)
+
+
 class Backends:
     """Connections to all backend instances, kept alive between requests."""
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.session: ClientSession | None = None
+        self.connectors: dict[int, TCPConnector] = {}
+        self.bases: dict[InstanceId, tuple[str, str, TCPConnector]] = {}
 
     async def start(self) -> None:
-        """Open the session; connections open at first use."""
-        connector = TCPConnector(limit=0, keepalive_timeout=KEEP_ALIVE_S)
-        self.session = ClientSession(
-            connector=connector,
-            auto_decompress=False,
-            timeout=ClientTimeout(total=None),
-        )
-        # aiohttp would send PUT and DELETE again by itself on a connection that
-        # broke, also those with an Idempotency-Key.
-        self.session._retry_connection = False
+        """Prepare the pools; connections open at first use."""
+        for instance in self.deployment.instances:
+            self.add(instance)
+        self.session = ClientSession(connector=TCPConnector(limit=0))
+
+    def add(self, instance: Instance) -> None:
+        """Prepare the pool of one instance."""
+        part = connection_part(instance.connections, len(self.deployment.entries))
+        connector = self.connectors.get(part)
+        if connector is None:
+            connector = self.connectors[part] = create_connector(part)
+        host = f"{instance.host}:{instance.port}"
+        self.bases[instance.id] = (f"http://{host}", host, connector)
 
     async def stop(self) -> None:
         """Close all connections."""
+        for connector in self.connectors.values():
+            await connector.close()
+        self.connectors.clear()
+        self.bases.clear()
         if self.session is not None:
             await self.session.close()
+            self.session = None
 
     async def send(
         self,
@@ -77,21 +130,67 @@
     ) -> ClientResponse:
         """Send a request and return the answer with its body unread.
 
-        Raises BackendNotReached when nothing was sent, BackendBroken after
-        that, and TimeoutError at the call's deadline.
+        Takes ``fields`` over. Raises BackendNotReached when nothing was sent
+        and BackendBroken after that; a cancelled request's connection is closed.
         """
-        if self.session is None:
-            raise BackendNotReached("the backend session is not started")
-        instance = self.deployment.instance_by_id[instance_id]
-        remaining = call.deadline - boottime()
-        fields[headers.TIMEOUT_MS] = str(max(0, int(remaining * 1000)))
-        fields[headers.PRIORITY] = headers.format_priority(call.rank)
-        url = f"http://{instance.host}:{instance.port}{call.path}"
-        try:
-            return await self.session.request(
-                call.method, url, headers=fields, data=body, allow_redirects=False
-            )
-        except ClientConnectorError as error:
-            raise BackendNotReached(f"{instance_id}: {error.os_error}") from error
-        except (ClientError, OSError) as error:
-            raise BackendBroken(f"{instance_id}: {type(error).__name__}") from error
+        session = self.session
+        if session is None:
+            raise BackendNotReached("the backend connections are not started")
+        base, host, connector = self.bases[instance_id]
+        remaining_ms = int((call.deadline - boottime()) * 1000)
+        fields[headers.HOST] = host
+        fields[headers.TIMEOUT_MS] = str(max(0, remaining_ms))
+        fields[headers.PRIORITY] = PRIORITIES[call.rank]
+        request = BackendRequest(
+            call.method,
+            URL(base + call.path, encoded=True),
+            headers=fields,
+            data=body,
+            session=session,
+            loop=asyncio.get_running_loop(),
+        )
+        return await exchange(request, connector, instance_id)
+
+
+def create_connector(part: int) -> TCPConnector:
+    """Return a pool of at most ``part`` connections to each instance.
+
+    An entry whose part is below one connection keeps none between requests;
+    those in use are bounded by the slots that it holds.
+    """
+    if part < 1:
+        return TCPConnector(limit=0, force_close=True)
+    return TCPConnector(limit=0, limit_per_host=part, keepalive_timeout=KEEP_ALIVE_S)
+
+
+async def exchange(
+    request: ClientRequest, connector: TCPConnector, instance: InstanceId
+) -> ClientResponse:
+    """Send a request over a pooled connection and return the answer's head."""
+    try:
+        connection = await connector.connect(request, [], CONNECT_TIMEOUT)
+    except ClientConnectorError as error:
+        raise BackendNotReached(f"{instance}: {error.os_error}") from error
+    except (ClientError, OSError) as error:
+        raise BackendNotReached(f"{instance}: {type(error).__name__}") from error
+    try:
+        protocol = connection.protocol
+        if protocol is None:
+            raise BackendNotReached(f"{instance}: the connection has closed")
+        protocol.set_response_params(
+            skip_payload=request.method == "HEAD",
+            read_until_eof=True,
+            auto_decompress=False,
+            read_bufsize=READ_BUFFER_BYTES,
+            max_line_size=MAX_FIELD_BYTES,
+            max_field_size=MAX_FIELD_BYTES,
+            max_headers=MAX_FIELDS,
+        )
+        answer = await request.send(connection)
+        return await answer.start(connection)
+    except (ClientError, OSError, ValueError) as error:
+        connection.close()
+        raise BackendBroken(f"{instance}: {type(error).__name__}") from error
+    except BaseException:
+        connection.close()
+        raise
--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+from multidict import CIMultiDict
+
 from masticdeck.ids import Rank
 
+HOST = "Host"
 PRIORITY = "Priority"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
@@ -39,6 +42,23 @@
 )
 
 
+def remove_hop_by_hop(fields: CIMultiDict[str]) -> None:
+    """Drop the headers that belong to one connection, Connection's own included.
+
+    >>> fields = CIMultiDict({"Connection": "X-Trace", "X-Trace": "1", "A": "2"})
+    >>> remove_hop_by_hop(fields)
+    >>> dict(fields)
+    {'A': '2'}
+    """
+    named = fields.get("connection")
+    if named is not None:
+        for name in named.split(","):
+            fields.popall(name.strip(), None)
+    for name in HOP_BY_HOP:
+        if name in fields:
+            del fields[name]
+
+
 def parse_priority(value: str) -> Rank | None:
     """Return the rank that a Priority header asks for, or None if it has none.
 
