--- a/src/masticdeck/coordination/policy.py
+++ b/src/masticdeck/coordination/policy.py
@@ -77,7 +77,7 @@
     async def acquire(self, call: Call, *, avoid: frozenset[InstanceId]) -> Slot:
         """Return a slot of the instance with most free slots."""
         queue = self.waiting[call.service]
-        slot = None if queue else self.take(call.service)
+        slot = None if queue else self.take(call.service, avoid)
         if slot is not None:
             return slot
         future: asyncio.Future[Slot] = asyncio.get_running_loop().create_future()
@@ -103,12 +103,15 @@
             return DeadlinePassed("while a slot was handed over")
         return Overloaded("all slots stayed in use", retry_after_s=1.0)
 
-    def take(self, service: ServiceId) -> Slot | None:
-        """Take a slot of the instance with most free slots."""
+    def take(
+        self, service: ServiceId, avoid: frozenset[InstanceId] = frozenset()
+    ) -> Slot | None:
+        """Take a slot of the instance with most free slots, others first."""
         free = self.slots.free(service)
         if not free:
             return None
-        return self.slots.take(max(free, key=lambda instance: free[instance]))
+        choice = [one for one in free if one not in avoid] if avoid else free
+        return self.slots.take(max(choice or free, key=lambda one: free[one]))
 
     def release(self, slot: Slot, call: Call, result: AttemptResult) -> None:
         """Give the slot back and hand it to the longest waiting call."""
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -130,14 +130,16 @@
         """Try instances until one answers or no further try is allowed."""
         delivery = Delivery(request, call, stall_s=self.node.config.answer_stall_s)
         tried: frozenset[InstanceId] = frozenset()
+        attempts = 0
         try:
             while True:
+                attempts += 1
                 slot = await self.policy.acquire(call, avoid=tried)
                 try:
                     return await self.send(delivery, call, slot)
                 except (BackendNotReached, BackendBroken) as error:
                     tried |= {slot.instance}
-                    if not may_go_on(delivery, call, error, len(tried)):
+                    if not may_go_on(delivery, call, error, attempts):
                         raise
         except MasticdeckError as error:
             if not delivery.begun:
