--- a/src/masticdeck/coordination/order_home.py
+++ b/src/masticdeck/coordination/order_home.py
@@ -37,17 +37,18 @@
         self.generation = 1
         self.started = {1: boottime()}
         self.closed = False
+        self.token = self.create_token()
 
-    @property
-    def token(self) -> HomeToken:
-        """Return the token that look-up answers carry now."""
-        return HomeToken(
+    def create_token(self) -> str:
+        """Return the token that look-up answers carry until the next rotation."""
+        token = HomeToken(
             home=self.node.id,
             home_incarnation=self.node.incarnation,
             witness=self.witness,
             witness_incarnation=self.witness_incarnation,
             generation=self.generation,
         )
+        return str(token)
 
     def choose(self, witness: EntryId, incarnation: Incarnation) -> None:
         """Name another witness in the tokens given from now on."""
@@ -59,6 +60,7 @@
         """Begin another generation of tokens."""
         self.generation += 1
         self.started[self.generation] = boottime()
+        self.token = self.create_token()
 
     def maintain(self) -> None:
         """Rotate and close generations by age, and drop old records."""
--- a/src/masticdeck/coordination/order_peers.py
+++ b/src/masticdeck/coordination/order_peers.py
@@ -171,7 +171,7 @@
         reply = OrderDescribeReply(
             incarnation=self.orders.node.incarnation,
             open=self.orders.open,
-            home_token=str(self.orders.home.token) if self.orders.open else "",
+            home_token=self.orders.home.token if self.orders.open else "",
         )
         await stream.send_message(reply)
 
--- a/src/masticdeck/coordination/orders.py
+++ b/src/masticdeck/coordination/orders.py
@@ -95,7 +95,7 @@
 
     def home_token(self) -> str:
         """Return the token for look-up answers; empty when there is none."""
-        return str(self.home.token) if self.open else self.foreign_token
+        return self.home.token if self.open else self.foreign_token
 
     def create_order(
         self, call: Call, body: bytes, fields: tuple[tuple[str, str], ...]
--- a/testing/coordination/order_network.py
+++ b/testing/coordination/order_network.py
@@ -6,6 +6,7 @@
 import itertools
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Any, cast
 
 from bench.fleet import ROOT
@@ -119,7 +120,7 @@
             peers=cast(Any, None),
         )
         orders = Orders(node, peers=DirectPeers(node, self))
-        orders.executor = self.execute
+        orders.executor = partial(self.execute, entry)
         self.entries[entry] = orders
         self.down.discard(entry)
         return orders
@@ -137,6 +138,7 @@
         act: Callable[[Orders], Any],
     ) -> Any:
         """Carry one message, with the faults that are set."""
+        await self.awake(source)
         if self.take((name, "request")) or {source, target} & self.down:
             raise PeerNotReached(name)
         lost = self.take((name, "answer"))
@@ -149,19 +151,36 @@
             if not task.done():
                 raise PeerNotReached(name)
         answer = await asyncio.shield(task)
+        await self.awake(source)
         if lost or source in self.down:
             raise PeerNotReached(name)
         return answer
 
     async def arrive(self, target: EntryId, act: Callable[[Orders], Any]) -> Any:
         """Act on a message at its target, later when that is paused."""
-        if target in self.paused:
-            await self.paused[target].wait()
+        await self.awake(target)
         if target in self.down:
             raise PeerNotReached("down")
         answer = act(self.entries[target])
         return await answer if isinstance(answer, Awaitable) else answer
 
+    async def awake(self, entry: EntryId) -> None:
+        """Wait while an entry is paused."""
+        while entry in self.paused:
+            await self.paused[entry].wait()
+
+    def resume(self, entry: EntryId) -> None:
+        """Let a paused entry go on."""
+        if entry in self.paused:
+            self.paused.pop(entry).set()
+
+    def kill(self, entry: EntryId) -> None:
+        """End an entry with all that it was doing."""
+        self.down.add(entry)
+        orders = self.entries[entry]
+        for task in [*orders.tasks, *orders.running.values()]:
+            task.cancel()
+
     def take(self, fault: tuple[str, str]) -> bool:
         """Use up one of the losses that are set."""
         if self.lose[fault] <= 0:
@@ -170,9 +189,14 @@
         return True
 
     async def execute(
-        self, call: Call, body: bytes, fields: tuple[tuple[str, str], ...]
+        self,
+        entry: EntryId,
+        call: Call,
+        body: bytes,
+        fields: tuple[tuple[str, str], ...],
     ) -> RecordedAnswer:
-        """Run an order at the backend server."""
+        """Run an order at the backend server for an entry."""
+        await self.awake(entry)
         if self.failure is not None:
             raise self.failure
         self.runs[str(call.idempotency_key)] += 1
@@ -197,7 +221,9 @@
             deadline=boottime() + wait_s,
             idempotency_key=key,
         )
-        return await self.entries[entry].run(call, body, self.execute)
+        orders = self.entries[entry]
+        assert orders.executor is not None
+        return await orders.run(call, body, orders.executor)
 
     async def settle(self) -> None:
         """Wait until no background work is left."""
--- a/testing/coordination/test_orders.py
+++ b/testing/coordination/test_orders.py
@@ -115,7 +115,7 @@
     key = net.key("a")
     net.paused[HOME] = asyncio.Event()
     assert await outcome(net.ask(THIRD, key)) == "OrderNotRun"
-    net.paused.pop(HOME).set()
+    net.resume(HOME)
     await net.settle()
     assert await outcome(net.ask(HOME, key)) == "OrderNotRun"
     assert net.runs[key] == 0
@@ -189,8 +189,8 @@
         await net.ask(HOME, net.key(str(number)))
     key = net.key("late")
     assert await outcome(net.ask(HOME, key)) == "OrderNotRun"
-    net.entries[HOME].home.table.expire(0.0)
-    assert await outcome(net.ask(HOME, key)) != "done"
+    net.entries[HOME].home.table.max_records = 100
+    assert await outcome(net.ask(HOME, key)) == "OrderNotRun"
     assert net.runs[key] == 0
 
 
