--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,6 +15,7 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
@@ -302,6 +303,15 @@
                 stats[instance["id"]] = await response.json()
         return stats
 
+    async def runs_by_key(self) -> Counter[str]:
+        """Return how often each key ran, over all instances."""
+        runs: Counter[str] = Counter()
+        for instance in self.deployment["instances"]:
+            url = f"{self.instance_url(instance['id'])}/runs"
+            async with self.session.get(url) as response:
+                runs.update(await response.json())
+        return runs
+
     async def platform_stats(self) -> dict[str, Any]:
         """Return the call counts of the platform."""
         async with self.session.get(f"{self.platform_url}/stats") as response:
--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -12,8 +12,9 @@
 
 An answer's body is its request's id, path and body digest, so that a caller
 can tell whether it got the whole answer to its own request. ``GET
-/bytes/N`` answers N bytes in pieces. ``GET /stats`` tells runs per key,
-largest number in flight, and what was shed.
+/bytes/N`` answers N bytes in pieces. ``GET /stats`` tells the largest number
+in flight, the keys that ran twice, and what was shed; ``GET /runs`` tells the
+number of runs of every key.
 """
 
 from __future__ import annotations
@@ -70,6 +71,8 @@
             return await self.control(request)
         if request.path == "/stats":
             return web.json_response(self.stats())
+        if request.path == "/runs":
+            return web.json_response(self.runs_by_key)
         if request.path == "/health":
             return self.health()
         if request.path == "/load":
