--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -47,7 +47,7 @@
     """
     for part in value.split(","):
         name, _, level = part.strip().partition("=")
-        if name == "u" and level.isdigit():
+        if name == "u" and level.isascii() and level.isdigit():
             return rank_of_urgency(int(level))
     return None
 
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -126,12 +126,12 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return the key's value, or None when it is absent."""
         answer = await self.call("get", {"key": key})
-        return _decode_item(answer["item"]) if answer.get("item") else None
+        return decode_item(answer["item"]) if answer.get("item") else None
 
     async def list(self, prefix: str) -> Listing:
         """Return every key below a prefix."""
         answer = await self.call("list", {"prefix": prefix})
-        items = tuple(_decode_item(item) for item in answer["items"])
+        items = tuple(decode_item(item) for item in answer["items"])
         return Listing(items, Revision(int(answer["revision"])))
 
     async def put(
@@ -167,7 +167,7 @@
         """Wait for changes below a prefix."""
         body = {"prefix": prefix, "after": after, "wait_s": wait_s}
         answer = await self.call("watch", body, timeout_s=wait_s + self.timeout_s)
-        changes = tuple(_decode_change(item) for item in answer["changes"])
+        changes = tuple(decode_change(item) for item in answer["changes"])
         return Changes(changes, Revision(int(answer["revision"])))
 
     async def call(
@@ -185,10 +185,11 @@
                 status = response.status
         except (TimeoutError, ClientError, OSError, UnicodeDecodeError) as error:
             raise StoreUnavailable(f"{method}: {type(error).__name__}") from error
-        return _decode_answer(method, status, text)
+        return decode_answer(method, status, text)
 
 
-def _decode_answer(method: str, status: int, text: str) -> Any:
+def decode_answer(method: str, status: int, text: str) -> Any:
+    """Return an answer's fields, or raise the error that it stands for."""
     if status == StoreConflict.status:
         raise StoreConflict(f"{method}: {text[:200]}")
     if status >= 500:
@@ -213,7 +214,8 @@
         raise StoreAnswerInvalid(f"{self.method}: field {name!r} is missing")
 
 
-def _decode_item(item: Mapping[str, Any]) -> KeyValue:
+def decode_item(item: Mapping[str, Any]) -> KeyValue:
+    """Return an item of an answer, or raise StoreAnswerInvalid."""
     try:
         value = base64.b64decode(item["value"], validate=True)
         return KeyValue(str(item["key"]), value, Revision(int(item["revision"])))
@@ -221,7 +223,8 @@
         raise StoreAnswerInvalid("an item lacks key, value or revision") from None
 
 
-def _decode_change(item: Mapping[str, Any]) -> Change:
+def decode_change(item: Mapping[str, Any]) -> Change:
+    """Return a change of an answer, or raise StoreAnswerInvalid."""
     try:
         raw = item["value"]
         value = None if raw is None else base64.b64decode(raw, validate=True)
--- a/src/masticdeck/state/documents.py
+++ b/src/masticdeck/state/documents.py
@@ -104,12 +104,18 @@
     return Document(file, None, {}, (Fault(file, line, "file", problem, remedy),))
 
 
+def key_name(key: Any) -> str:
+    """Return the text of a key, which may be quoted, empty or a bare word."""
+    quoted = getattr(key, "characters", None)
+    return str(key.name if quoted is None else quoted)
+
+
 def walk(node: Any, path: FieldPath) -> Iterator[tuple[FieldPath, int]]:
     """Yield the path and line of every value, parents first."""
     yield path, int(node.lineno)
     if isinstance(node, JSONObject):
         for pair in node.key_value_pairs:
-            name = getattr(pair.key, "characters", None) or pair.key.name
+            name = key_name(pair.key)
             yield from walk(pair.value, (*path, name))
     elif isinstance(node, JSONArray):
         for index, value in enumerate(node.values):
--- /dev/null
+++ b/testing/protocol/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of the protocol layer."""
+
+from __future__ import annotations
