--- a/src/masticdeck/coordination/member_links.py
+++ b/src/masticdeck/coordination/member_links.py
@@ -12,7 +12,7 @@
 from grpclib.exceptions import GRPCError, StreamTerminatedError
 from grpclib.server import Stream as ServerStream
 
-from masticdeck.clock import LOGICAL_BITS, LOGICAL_MASK, boottime
+from masticdeck.clock import boottime
 from masticdeck.coordination.members import SEVERITY, STATE_OF, Member
 from masticdeck.ids import EntryId, Incarnation, MemberState, Version
 from masticdeck.protocol.generated.membership_grpc import MembersBase, MembersStub
@@ -87,11 +87,9 @@
                 ZoneDigest(zone=zone, digest=digest)
                 for zone, digest in membership.digests.items()
             ]
-        stamp = membership.node.clock.stamp()
         return Heartbeat(
             sender=membership.node.id,
-            stamp_us=stamp >> LOGICAL_BITS,
-            stamp_counter=stamp & LOGICAL_MASK,
+            stamp=membership.node.clock.stamp(),
             version=membership.version,
             load_permille=round(membership.load * PERMILLE),
             digest=membership.digest,
@@ -103,8 +101,7 @@
         """Take one heartbeat into account."""
         membership = self.owner.membership
         self.heard_at = boottime()
-        stamp = (beat.stamp_us << LOGICAL_BITS) | beat.stamp_counter
-        membership.node.clock.receive(stamp)
+        membership.node.clock.receive(beat.stamp)
         for record in beat.records:
             claim = self.decode(record)
             if claim is not None:
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -13,7 +13,8 @@
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
-from masticdeck.coordination.slots import StaticSlots
+from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.slots import SlotSource, StaticSlots
 from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
@@ -59,7 +60,8 @@
         peers=peers,
     )
     membership = Membership(node)
-    slots = StaticSlots(deployment, node.id)
+    shares = Shares(node, membership)
+    slots = choose_slots(node, shares)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
@@ -69,7 +71,7 @@
     forwarder = Forwarder(
         node, policy, backends, metrics, order_forwarder, configuration.rollout
     )
-    services: list[IServable] = [OrderService(orders), membership.links]
+    services: list[IServable] = [OrderService(orders), membership.links, shares]
     services.append(configuration.service)
     server = EntryServer(
         node,
@@ -86,6 +88,7 @@
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
+        shares,
         *configuration.components,
         backends,
         server,
@@ -93,3 +96,10 @@
     for component in components:
         application.add(component)
     return application
+
+
+def choose_slots(node: Node, shares: Shares) -> SlotSource:
+    """Return the source of slots that the settings name."""
+    if node.config.slots == "static":
+        return StaticSlots(node.deployment, node.id)
+    return shares.holder
