--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -34,14 +34,18 @@
     entry: EntryId
     deployment: Path
     blocks: Path | None = None
-    policy: str = "baseline"
+    policy: str = "ranked"
     lookup_ttl_s: Annotated[float, Field(gt=0, le=300)] = 5.0
     heartbeat_s: Annotated[float, Field(gt=0)] = 1.0
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
+    slots: Annotated[str, Field(pattern="^(static|shares)$")] = "shares"
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
     keep_alive_s: Annotated[float, Field(gt=0)] = 75.0
     header_timeout_s: Annotated[float, Field(gt=0)] = 10.0
     answer_stall_s: Annotated[float, Field(gt=0)] = 2.0
+    share_report_s: Annotated[float, Field(gt=0)] = 1.0
+    share_outage_s: Annotated[float, Field(ge=0)] = 600.0
+    share_outage_ttl_s: Annotated[float, Field(gt=0)] = 120.0
     stop_grace_s: Annotated[float, Field(gt=0)] = 20.0
     max_header_bytes: Annotated[int, Field(ge=1024)] = 16_384
     max_order_bytes: Annotated[int, Field(gt=0)] = 1_048_576
@@ -52,3 +56,5 @@
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
     peer_tls: TlsSettings | None = None
     operator_tokens: Path | None = None
+    veto_window_s: Annotated[float, Field(gt=0)] = 60.0
+    watchers_per_zone: Annotated[int, Field(ge=1)] = 2
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import time
+from typing import TYPE_CHECKING
 
-from masticdeck.application import Application
+import masticdeck.coordination.ranked  # noqa: F401
+from masticdeck.application import Application, Component
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
-from masticdeck.coordination.slots import StaticSlots
+from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.slots import SlotSource, StaticSlots
+from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -28,6 +33,9 @@
 from masticdeck.state.deployment import load_deployment
 from masticdeck.transport.peers import PeerChannels, PeerServer, StampExchange
 
+if TYPE_CHECKING:
+    from grpclib._typing import IServable
+
 
 def build_entry(config: Config) -> Application:
     """Return the application of an entry, not yet started."""
@@ -51,26 +59,47 @@
         vms=vms,
         peers=peers,
     )
-    slots = StaticSlots(deployment, node.id)
+    membership = Membership(node)
+    shares = Shares(node, membership)
+    slots = choose_slots(node, shares)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
-    forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
-    services = [OrderService(orders)]
+    configuration = build_configuration(node, membership)
+    forwarder = Forwarder(
+        node, policy, backends, metrics, order_forwarder, configuration.rollout
+    )
+    services: list[IServable] = [OrderService(orders), membership.links, shares]
+    services.append(configuration.service)
     server = EntryServer(
-        node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
+        node,
+        Lookup(node, home=orders),
+        forwarder,
+        Inspection(node, metrics),
+        configuration.api,
     )
     application = Application(events)
-    for component in (
+    components: list[Component] = [
         store,
         vms,
         peers,
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
+        membership,
+        shares,
+        *configuration.components,
         backends,
         server,
-    ):
+    ]
+    for component in components:
         application.add(component)
     return application
+
+
+def choose_slots(node: Node, shares: Shares) -> SlotSource:
+    """Return the source of slots that the settings name."""
+    if node.config.slots == "static":
+        return StaticSlots(node.deployment, node.id)
+    return shares.holder
--- a/src/masticdeck/entry/delivery.py
+++ b/src/masticdeck/entry/delivery.py
@@ -14,10 +14,11 @@
 from aiohttp import ClientError, ClientResponse, web
 from multidict import CIMultiDict
 
+from masticdeck.coordination.policy import Policy
+from masticdeck.coordination.slots import Slot
 from masticdeck.ids import InstanceId, Version
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken
-from masticdeck.protocol.call import Call
 
 SMALL_ANSWER_BYTES = 65_536
 BODILESS = frozenset({204, 304})
@@ -30,9 +31,11 @@
     whole answer; otherwise only its pauses are bounded once it has begun.
     """
 
-    def __init__(self, request: web.BaseRequest, call: Call, *, stall_s: float) -> None:
+    def __init__(
+        self, request: web.BaseRequest, policy: Policy, *, stall_s: float
+    ) -> None:
         self.request = request
-        self.call = call
+        self.policy = policy
         self.stall_s = stall_s
         self.bounded = headers.TIMEOUT_MS in request.headers
         self.response: web.StreamResponse | None = None
@@ -65,23 +68,24 @@
             raise BackendBroken(f"{instance} has another version of the file")
 
     async def pass_on(
-        self, answer: ClientResponse, instance: InstanceId, version: Version
+        self, answer: ClientResponse, slot: Slot, version: Version
     ) -> web.StreamResponse:
         """Copy an instance's answer to the caller; large bodies unbuffered."""
         if self.response is not None:
-            self.check_rest(answer, instance)
-            return await self.copy(answer, self.response)
-        fields = answer_fields(answer, instance, version)
+            self.check_rest(answer, slot.instance)
+            return await self.copy(answer, self.response, slot)
+        fields = answer_fields(answer, slot.instance, version)
         size = answer.content_length
         if self.request.method == "HEAD" or answer.status in BODILESS:
             return web.Response(status=answer.status, headers=fields)
         if size is not None and size <= SMALL_ANSWER_BYTES:
+            self.policy.count_small(slot, size)
             body = await read_small(answer)
             return web.Response(status=answer.status, body=body, headers=fields)
         self.response = web.StreamResponse(status=answer.status, headers=fields)
         self.note_file(answer, size)
         await self.response.prepare(self.request)
-        return await self.copy(answer, self.response)
+        return await self.copy(answer, self.response, slot)
 
     def note_file(self, answer: ClientResponse, size: int | None) -> None:
         """Keep what a resumption needs, when the answer allows one."""
@@ -93,7 +97,7 @@
             self.size = size or 0
 
     async def copy(
-        self, answer: ClientResponse, response: web.StreamResponse
+        self, answer: ClientResponse, response: web.StreamResponse, slot: Slot
     ) -> web.StreamResponse:
         """Pass pieces on until the end; raises BackendBroken at a stall."""
         while True:
@@ -101,6 +105,7 @@
             if not piece:
                 await response.write_eof()
                 return response
+            await self.policy.pace_large(slot, len(piece))
             await response.write(piece)
             self.sent += len(piece)
 
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -11,6 +11,7 @@
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptEnd, AttemptResult, Policy
+from masticdeck.coordination.rollout import Rollout, parse_version
 from masticdeck.coordination.slots import Slot
 from masticdeck.entry.delivery import SMALL_ANSWER_BYTES, Delivery
 from masticdeck.entry.order_forward import OrderForwarder, is_order
@@ -41,7 +42,6 @@
 
 SERVICE_PREFIX = "/service/"
 MAX_TIMEOUT_MS = 120_000
-MAX_ATTEMPTS = 2
 MAX_RESUMPTIONS = 4
 REFUSED_METHODS = frozenset({"CONNECT", "TRACE"})
 
@@ -56,12 +56,14 @@
         backends: Backends,
         metrics: Metrics,
         orders: OrderForwarder,
+        rollout: Rollout,
     ) -> None:
         self.node = node
         self.policy = policy
         self.backends = backends
         self.metrics = metrics
         self.orders = orders
+        self.rollout = rollout
         self.id_prefix = f"{node.id}-{node.incarnation:x}-"
         self.sequence = 0
         self.in_flight = 0
@@ -74,6 +76,9 @@
         call: Call | None = None
         try:
             call = self.parse(request)
+            seen = parse_version(request.headers.get(headers.VERSION))
+            if not self.rollout.serves(seen):
+                await self.rollout.require(seen, deadline=call.deadline)
             self.node.events.emit(
                 Code.REQUEST_RECEIVED,
                 level=logging.DEBUG,
@@ -109,12 +114,14 @@
             raise ServiceUnknown(repr(service_text[:64]))
         check_request(request)
         fields = request.headers
+        customer_text = fields.get(headers.CUSTOMER)
+        customer = None if customer_text is None else CustomerId(customer_text)
         rank = headers.parse_priority(fields.get(headers.PRIORITY, "")) or service.rank
+        rank = self.policy.allowed_rank(customer, rank)
         wait_ms = parse_timeout(fields.get(headers.TIMEOUT_MS))
         if wait_ms is None:
             wait_ms = service.agreed_wait_ms[rank]
         self.sequence += 1
-        customer = fields.get(headers.CUSTOMER)
         return Call(
             id=RequestId(f"{self.id_prefix}{self.sequence}"),
             service=service.id,
@@ -122,13 +129,16 @@
             path=f"/{rest}",
             rank=rank,
             deadline=boottime() + wait_ms / 1000,
-            customer=None if customer is None else CustomerId(customer),
+            customer=customer,
             idempotency_key=fields.get(headers.IDEMPOTENCY_KEY),
+            attempt=1 if fields.get(headers.ATTEMPT, "1") == "1" else 2,
         )
 
     async def attempt(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         """Try instances until one answers or no further try is allowed."""
-        delivery = Delivery(request, call, stall_s=self.node.config.answer_stall_s)
+        delivery = Delivery(
+            request, self.policy, stall_s=self.node.config.answer_stall_s
+        )
         tried: frozenset[InstanceId] = frozenset()
         attempts = 0
         try:
@@ -139,7 +149,7 @@
                     return await self.send(delivery, call, slot)
                 except (BackendNotReached, BackendBroken) as error:
                     tried |= {slot.instance}
-                    if not may_go_on(delivery, call, error, attempts):
+                    if not self.may_go_on(delivery, call, error, attempts):
                         raise
         except MasticdeckError as error:
             if not delivery.begun:
@@ -152,6 +162,16 @@
                 delivery.cut()
             raise
 
+    def may_go_on(
+        self, delivery: Delivery, call: Call, error: MasticdeckError, attempts: int
+    ) -> bool:
+        """Return whether another instance may be tried after an error."""
+        if delivery.begun:
+            return delivery.resumable and attempts < MAX_RESUMPTIONS
+        if delivery.request.body_exists:
+            return False
+        return self.policy.may_retry(call, error, attempts)
+
     async def send(
         self, delivery: Delivery, call: Call, slot: Slot
     ) -> web.StreamResponse:
@@ -173,7 +193,7 @@
                     raise BackendNotReached(f"{slot.instance} shed the request")
                 if not delivery.bounded and is_large(answer):
                     limit.reschedule(None)
-                response = await delivery.pass_on(answer, slot.instance, self.version)
+                response = await delivery.pass_on(answer, slot, self.version)
                 end = AttemptEnd.ANSWERED
                 return response
         except BackendNotReached:
@@ -183,15 +203,12 @@
             end = AttemptEnd.BROKEN
             raise
         except TimeoutError:
-            end = AttemptEnd.BROKEN
+            end = AttemptEnd.LATE
             raise timeout_error(delivery.request) from None
         finally:
-            status = 0
-            if answer is not None:
-                status = answer.status
-                if end is not AttemptEnd.ANSWERED:
-                    answer.close()
-            self.finish(call, slot, end, status, time.perf_counter() - began)
+            if answer is not None and end is not AttemptEnd.ANSWERED:
+                answer.close()
+            self.finish(call, slot, end, answer, time.perf_counter() - began)
 
     async def ask(self, delivery: Delivery, call: Call, slot: Slot) -> ClientResponse:
         """Send the request, or ask for the rest of an answer that has begun."""
@@ -203,10 +220,17 @@
         return await self.backends.send(slot.instance, call, fields, body)
 
     def finish(
-        self, call: Call, slot: Slot, end: AttemptEnd, status: int, seconds: float
+        self,
+        call: Call,
+        slot: Slot,
+        end: AttemptEnd,
+        answer: ClientResponse | None,
+        seconds: float,
     ) -> None:
         """Give the slot back and record how an attempt ended."""
-        result = AttemptResult(end=end, seconds=seconds, status=status)
+        status = 0 if answer is None else answer.status
+        size = 0 if answer is None else answer.content_length or 0
+        result = AttemptResult(end=end, seconds=seconds, status=status, bytes=size)
         self.policy.release(slot, call, result)
         self.node.events.emit(
             Code.REQUEST_ANSWERED,
@@ -253,17 +277,6 @@
     return OutcomeUnknown("the deadline passed while the request ran")
 
 
-def may_go_on(
-    delivery: Delivery, call: Call, error: MasticdeckError, attempts: int
-) -> bool:
-    """Return whether another instance may be tried after an error."""
-    if delivery.begun:
-        return delivery.resumable and attempts < MAX_RESUMPTIONS
-    if delivery.request.body_exists or attempts >= MAX_ATTEMPTS:
-        return False
-    return call.idempotent or error.outcome is Outcome.NOT_RUN
-
-
 def forward_fields(request: web.BaseRequest, call: Call) -> CIMultiDict[str]:
     """Return the request's end-to-end headers."""
     fields = request.headers.copy()
--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -23,7 +23,7 @@
 VERSION = "Masticdeck-Version"
 DRAINING = "Masticdeck-Draining"
 INSTANCE = "Masticdeck-Instance"
-STAMP = "Masticdeck-Stamp"
+ATTEMPT = "Masticdeck-Attempt"
 
 URGENCY = {Rank.URGENT: 1, Rank.MIDDLE: 3, Rank.LOW: 6}
 
@@ -67,7 +67,7 @@
     """
     for part in value.split(","):
         name, _, level = part.strip().partition("=")
-        if name == "u" and level.isdigit():
+        if name == "u" and level.isascii() and level.isdigit():
             return rank_of_urgency(int(level))
     return None
 
