--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -15,6 +15,7 @@
 import socket
 import sys
 import tempfile
+from collections import Counter
 from contextlib import AsyncExitStack, suppress
 from pathlib import Path
 from typing import Any
@@ -101,11 +102,13 @@
         service_ms: dict[str, float] | None = None,
         settings: dict[str, Any] | None = None,
         backends: bool = True,
+        entry_settings: dict[str, dict[str, Any]] | None = None,
         split_backends: bool = False,
     ) -> None:
         self.deployment = place(example, entries=entries, overrides=service_ms)
         self.settings = settings or {}
         self.with_backends = backends
+        self.entry_settings = entry_settings or {}
         self.split_backends = split_backends
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="masticdeck-"))
@@ -220,7 +223,8 @@
         """Start an entry and wait until it serves."""
         settings = {"entry": entry, "deployment": str(self.deployment_for(entry))}
         path = self.folder / f"{entry}.json"
-        path.write_text(json.dumps(settings | self.settings), encoding="utf-8")
+        settings |= self.settings | self.entry_settings.get(entry, {})
+        path.write_text(json.dumps(settings), encoding="utf-8")
         await self.spawn(entry, "masticdeck.programs.entry", "--settings", str(path))
         await self.ready(entry, f"{self.entry_url(entry)}/-/ready")
 
@@ -302,6 +306,15 @@
                 stats[instance["id"]] = await response.json()
         return stats
 
+    async def runs_by_key(self) -> Counter[str]:
+        """Return how often each key ran, over all instances."""
+        runs: Counter[str] = Counter()
+        for instance in self.deployment["instances"]:
+            url = f"{self.instance_url(instance['id'])}/runs"
+            async with self.session.get(url) as response:
+                runs.update(await response.json())
+        return runs
+
     async def platform_stats(self) -> dict[str, Any]:
         """Return the call counts of the platform."""
         async with self.session.get(f"{self.platform_url}/stats") as response:
