--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -114,6 +114,7 @@
 
     async def run(self, request: web.BaseRequest) -> web.StreamResponse:
         """Do the work of one request."""
+        began = time.time()
         body = await request.read() if request.body_exists else b""
         key = request.headers.get("Idempotency-Key")
         if key is not None:
@@ -130,9 +131,11 @@
             self.faults["lose_answers"] -= 1
             if request.transport is not None:
                 request.transport.abort()
-        return await self.answer(request, body)
+        return await self.answer(request, body, began)
 
-    async def answer(self, request: web.BaseRequest, body: bytes) -> web.StreamResponse:
+    async def answer(
+        self, request: web.BaseRequest, body: bytes, began: float
+    ) -> web.StreamResponse:
         """Return the answer to a request that ran."""
         fields = {"Masticdeck-Draining": "1"} if self.faults.get("draining") else {}
         if request.path.startswith("/bytes/"):
@@ -142,6 +145,8 @@
             "nonce": request.headers.get("Nonce", ""),
             "digest": ANSWER_DIGEST(body).hexdigest(),
             "instance": self.id,
+            "began": began,
+            "ended": time.time(),
         }
         return web.Response(
             body=json.dumps(document).encode(),
