Keep the floors over several grants

Cause: a floor due at each grant takes slots from short bursts of urgent work. Change: credit due from 3, bounded to -3 and 6. The floor's test now judges 200 grants after the first 50, and a new one judges the burst.

--- a/src/masticdeck/coordination/admission.py
+++ b/src/masticdeck/coordination/admission.py
@@ -2,7 +2,8 @@
 
 A queue is ordered by rank, then fairly between customers by the capacity of
 their plans, then by deadline. Each rank keeps a floor: a part of the grants
-that a flood of other ranks cannot take. A call whose expected wait exceeds
+that a flood of other ranks cannot take. The floor is kept over several grants
+rather than at each, so that a short burst of urgent work goes first. A call whose expected wait exceeds
 what its deadline leaves is refused at once, before its body is read.
 """
 
@@ -23,7 +24,9 @@
 RANKS = (Rank.URGENT, Rank.MIDDLE, Rank.LOW)
 DEFAULT_FLOORS = {Rank.URGENT: 0.3, Rank.MIDDLE: 0.2, Rank.LOW: 0.1}
 RATE_WINDOW_S = 1.0
-MOST_CREDIT = 2.0
+DUE_CREDIT = 3.0
+MOST_CREDIT = 6.0
+LEAST_CREDIT = -3.0
 ALWAYS_QUEUED = 2
 MAX_RETRY_AFTER_S = 30.0
 MIN_RATE = 0.1
@@ -151,7 +154,7 @@
 
     def select(self) -> tuple[RankQueue, Lane] | None:
         """Return whose turn it is: a rank below its floor, or the most urgent."""
-        due = [queue for queue in self.ranks.values() if queue.credit >= 1.0]
+        due = [queue for queue in self.ranks.values() if queue.credit >= DUE_CREDIT]
         due.sort(key=lambda queue: -queue.credit)
         for queue in (*due, *self.ranks.values()):
             lane = queue.first() if queue.count else None
@@ -165,7 +168,7 @@
             if queue.count:
                 credit = queue.credit + self.floors.get(rank, 0.0)
                 queue.credit = min(MOST_CREDIT, credit)
-        chosen.credit = max(0.0, chosen.credit - 1.0)
+        chosen.credit = max(LEAST_CREDIT, chosen.credit - 1.0)
         chosen.granted.add(now)
         waiter = lane.heap[0][2]
         chosen.charge(lane)
