--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -85,6 +85,7 @@
         self.processes: dict[str, asyncio.subprocess.Process] = {}
         self.folder = Path(tempfile.mkdtemp(prefix="masticdeck-"))
         self.stack = AsyncExitStack()
+        self.last_stats: dict[str, dict[str, Any]] = {}
         self.session: ClientSession
 
     @property
--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -134,7 +134,7 @@
             await scenario.prepare(fleet)
         capacity = capacities(fleet.deployment)
         await send_load(fleet, scenario)
-        stats = await fleet.instance_stats()
+        stats = fleet.last_stats | await fleet.instance_stats()
         records = read_records(sorted(fleet.folder.glob("out/part-*.json")))
     return Run(scenario=scenario, records=records, stats=stats, capacity=capacity)
 
@@ -209,6 +209,8 @@
     target = fault["target"]
     match fault["action"]:
         case "kill":
+            if target.startswith("backend-") and not fleet.last_stats:
+                fleet.last_stats = await fleet.instance_stats()
             fleet.processes[target].kill()
         case "pause":
             fleet.pause(target)
--- a/src/masticdeck/coordination/admission.py
+++ b/src/masticdeck/coordination/admission.py
@@ -3,8 +3,9 @@
 A queue is ordered by rank, then fairly between customers by the capacity of
 their plans, then by deadline. Each rank keeps a floor: a part of the grants
 that a flood of other ranks cannot take. The floor is kept over several grants
-rather than at each, so that a short burst of urgent work goes first. A call whose expected wait exceeds
-what its deadline leaves is refused at once, before its body is read.
+rather than at each, so that a short burst of urgent work goes first. A call
+whose expected wait exceeds what its deadline leaves is refused at once, before
+its body is read.
 """
 
 from __future__ import annotations
@@ -13,7 +14,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from masticdeck.coordination.slots import Slot
@@ -58,6 +59,7 @@
     avoid: frozenset[InstanceId]
     latest: float
     future: asyncio.Future[Slot]
+    queued: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -141,26 +143,31 @@
         self.waiting = 0
 
     def push(self, waiter: Waiter, weight: float) -> None:
-        """Add a waiting call; ``done`` must be called once when its wait ends."""
+        """Add a waiting call; ``done`` must be called when its wait ends."""
         queue = self.ranks[waiter.call.rank]
         queue.push(waiter, next(self.numbers), weight)
         queue.count += 1
         self.waiting += 1
 
     def done(self, waiter: Waiter) -> None:
-        """Count a call out that no longer waits."""
+        """Count a call out that no longer waits; may be called again."""
+        if not waiter.queued:
+            return
+        waiter.queued = False
         self.ranks[waiter.call.rank].count -= 1
         self.waiting -= 1
 
-    def select(self) -> tuple[RankQueue, Lane] | None:
-        """Return whose turn it is: a rank below its floor, or the most urgent."""
+    def candidates(self) -> Iterator[tuple[RankQueue, Lane]]:
+        """Return whose turn it is: ranks below their floor, then the most urgent.
+
+        Later ones follow for a slot that the first cannot use.
+        """
         due = [queue for queue in self.ranks.values() if queue.credit >= DUE_CREDIT]
         due.sort(key=lambda queue: -queue.credit)
-        for queue in (*due, *self.ranks.values()):
+        for queue in dict.fromkeys((*due, *self.ranks.values())):
             lane = queue.first() if queue.count else None
             if lane is not None:
-                return queue, lane
-        return None
+                yield queue, lane
 
     def grant(self, chosen: RankQueue, lane: Lane, now: float) -> Waiter:
         """Remove the selected call and settle what each rank is owed."""
@@ -172,6 +179,7 @@
         chosen.granted.add(now)
         waiter = lane.heap[0][2]
         chosen.charge(lane)
+        self.done(waiter)
         return waiter
 
     def expected_wait_s(
--- a/src/masticdeck/coordination/limits.py
+++ b/src/masticdeck/coordination/limits.py
@@ -14,13 +14,15 @@
 import random
 from dataclasses import dataclass
 
-from masticdeck.ids import InstanceId
+from masticdeck.ids import InstanceId, ServiceId
 from masticdeck.state.deployment import Instance
 
 SHED_FACTOR = 0.7
 MIN_LIMIT = 0.25
 GROWTH = 0.1
 LATENCY_WEIGHT = 0.3
+SLOWER_WEIGHT = 0.7
+SLOW_FACTOR = 2.0
 FORGET_S = 3.0
 MAX_PAUSE_S = 2.0
 CONTRADICTED_LOAD = 0.7
@@ -82,6 +84,15 @@
             for one in instances
         }
 
+        self.services: dict[ServiceId, list[InstanceLimit]] = {}
+        for one in instances:
+            state = self.by_instance[one.id]
+            self.services.setdefault(one.service, []).append(state)
+
+    def of_service(self, service: ServiceId) -> list[InstanceLimit]:
+        """Return the limits of a service's instances."""
+        return self.services[service]
+
     def taken(self, instance: InstanceId) -> None:
         """Count a request sent."""
         self.by_instance[instance].used += 1
@@ -99,7 +110,9 @@
         """Learn from an answer that took ``seconds``."""
         state = self.by_instance[instance]
         state.sheds = 0
-        state.latency_s += LATENCY_WEIGHT * (seconds - state.latency_s)
+        slower = seconds > SLOW_FACTOR * state.usual_s
+        weight = SLOWER_WEIGHT if slower else LATENCY_WEIGHT
+        state.latency_s += weight * (seconds - state.latency_s)
         state.updated = now
         if state.ramping:
             state.limit = min(float(state.slots), state.limit * 2)
--- a/src/masticdeck/coordination/ranked.py
+++ b/src/masticdeck/coordination/ranked.py
@@ -235,15 +235,21 @@
         """Hand free slots to waiting calls in the queue's order."""
         queue = self.queues[service]
         now = boottime()
-        while (selected := queue.select()) is not None:
-            rank, lane = selected
+        while queue.waiting and self.serve_next(queue, now):
+            pass
+        if queue.waiting:
+            self.poll_gated(service)
+
+    def serve_next(self, queue: ServiceQueue, now: float) -> bool:
+        """Hand one slot to the first call that can use one."""
+        for rank, lane in queue.candidates():
             waiter = lane.heap[0][2]
             slot = self.take(waiter.call, waiter.avoid, now)
-            if slot is None:
-                self.poll_gated(service)
-                return
-            queue.grant(rank, lane, now)
-            waiter.future.set_result(slot)
+            if slot is not None:
+                queue.grant(rank, lane, now)
+                waiter.future.set_result(slot)
+                return True
+        return False
 
     def poll_gated(self, service: ServiceId) -> None:
         """Look again soon when slots are free but their instances are paused."""
--- a/src/masticdeck/coordination/routing.py
+++ b/src/masticdeck/coordination/routing.py
@@ -5,13 +5,12 @@
 from collections.abc import Iterable
 
 from masticdeck.coordination.health import Health
-from masticdeck.coordination.limits import InstanceLimit, Limits
+from masticdeck.coordination.limits import SLOW_FACTOR, InstanceLimit, Limits
 from masticdeck.coordination.links import Links
 from masticdeck.ids import InstanceId, Rank, RegionId, ServiceId, ZoneId
 from masticdeck.protocol.call import Call
 from masticdeck.state.deployment import Deployment
 
-SLOW_FACTOR = 2.0
 AVOID_S = 100.0
 LOAD_S = 0.02
 BUSY_S = 0.01
@@ -70,8 +69,25 @@
                 score += AVOID_S * (2 if instance in avoid else 1)
             if score < least:
                 best, least = instance, score
+        if best is not None and self.better_to_wait(best, call, remaining, now):
+            return None
         return best
 
+    def better_to_wait(
+        self, best: InstanceId, call: Call, remaining: float, now: float
+    ) -> bool:
+        """Return whether the best free instance is too slow and another is not.
+
+        The other is in use by this entry, so its slot comes free soon.
+        """
+        state = self.limits.by_instance[best]
+        if state.expected_s(now) <= max(remaining, SLOW_FACTOR * state.usual_s):
+            return False
+        return any(
+            other.used and other.expected_s(now) < remaining
+            for other in self.limits.of_service(call.service)
+        )
+
     def usable(self, instance: InstanceId, state: InstanceLimit, now: float) -> bool:
         """Return whether the instance may get a request at all."""
         return (
--- a/testing/coordination/test_admission.py
+++ b/testing/coordination/test_admission.py
@@ -35,7 +35,7 @@
 def grant(queue, count):
     granted = []
     for _ in range(count):
-        rank, lane = queue.select()
+        rank, lane = next(queue.candidates())
         waiter = queue.grant(rank, lane, 0.0)
         waiter.future.set_result(None)
         queue.done(waiter)
