--- a/bench/scenario.py
+++ b/bench/scenario.py
@@ -30,8 +30,8 @@
 class Scenario:
     """One experiment before its processes exist.
 
-    ``streams`` and ``faults`` are as in an experiment file; ``hooks`` are run
-    with the fleet at times in seconds, for what no control address offers.
+    ``streams`` and ``faults`` are as in an experiment file; ``timed`` functions
+    get the fleet at times in seconds, for what the load tool cannot reach.
     """
 
     name: str
@@ -44,7 +44,9 @@
     split_backends: bool = False
     seed: int = 5
     fleet: Callable[..., Fleet] = Fleet
-    prepare: Callable[[Fleet], Awaitable[None]] | None = None
+    timed: list[tuple[float, Callable[[Fleet], Awaitable[None]]]] = field(
+        default_factory=list
+    )
 
 
 @dataclass(kw_only=True)
@@ -130,8 +132,6 @@
         split_backends=scenario.split_backends,
     )
     async with fleet:
-        if scenario.prepare is not None:
-            await scenario.prepare(fleet)
         capacity = capacities(fleet.deployment)
         await send_load(fleet, scenario)
         stats = fleet.last_stats | await fleet.instance_stats()
@@ -179,15 +179,28 @@
             str(control),
         )
     watcher = asyncio.create_task(follow_control(fleet, control))
+    timed = [
+        asyncio.create_task(at_time(start_at + at_s, function, fleet))
+        for at_s, function in scenario.timed
+    ]
     for part in range(LOAD_PARTS):
         status = await fleet.processes[f"load-{part}"].wait()
         if status:
             raise RuntimeError(
                 f"load-{part} failed: {fleet.log(f'load-{part}')[-2000:]}"
             )
+    await asyncio.gather(*timed)
     watcher.cancel()
 
 
+async def at_time(
+    at: float, function: Callable[[Fleet], Awaitable[None]], fleet: Fleet
+) -> None:
+    """Call a function with the fleet at a wall-clock time."""
+    await asyncio.sleep(max(0.0, at - time.time()))
+    await function(fleet)
+
+
 async def follow_control(fleet: Fleet, control: Path) -> None:
     """Carry out the faults that the load tool writes to its control file."""
     done = 0
