--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -6,14 +6,16 @@
 from typing import TYPE_CHECKING
 
 import masticdeck.coordination.ranked  # noqa: F401
-from masticdeck.application import Application
+from masticdeck.application import Application, Component
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
 from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
-from masticdeck.coordination.slots import StaticSlots
+from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.slots import SlotSource, StaticSlots
+from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -58,27 +60,46 @@
         peers=peers,
     )
     membership = Membership(node)
-    slots = StaticSlots(deployment, node.id)
+    shares = Shares(node, membership)
+    slots = choose_slots(node, shares)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
-    forwarder = Forwarder(node, policy, backends, metrics, order_forwarder)
-    services: list[IServable] = [OrderService(orders), membership.links]
+    configuration = build_configuration(node, membership)
+    forwarder = Forwarder(
+        node, policy, backends, metrics, order_forwarder, configuration.rollout
+    )
+    services: list[IServable] = [OrderService(orders), membership.links, shares]
+    services.append(configuration.service)
     server = EntryServer(
-        node, Lookup(node, home=orders), forwarder, Inspection(node, metrics)
+        node,
+        Lookup(node, home=orders),
+        forwarder,
+        Inspection(node, metrics),
+        configuration.api,
     )
     application = Application(events)
-    for component in (
+    components: list[Component] = [
         store,
         vms,
         peers,
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
+        shares,
+        *configuration.components,
         backends,
         server,
-    ):
+    ]
+    for component in components:
         application.add(component)
     return application
+
+
+def choose_slots(node: Node, shares: Shares) -> SlotSource:
+    """Return the source of slots that the settings name."""
+    if node.config.slots == "static":
+        return StaticSlots(node.deployment, node.id)
+    return shares.holder
