Credit an entry with an even part of the slots

Cause: an entry that holds no shares yet refused work as if it had no capacity. Change: the expected wait counts at least an even part of the service's slots.

--- a/src/masticdeck/coordination/ranked.py
+++ b/src/masticdeck/coordination/ranked.py
@@ -34,6 +34,7 @@
 )
 from masticdeck.node import Node
 from masticdeck.protocol.call import Call
+from masticdeck.state.deployment import Deployment
 from masticdeck.state.lists import Configuration
 
 SERVICE_WEIGHT = 0.05
@@ -89,6 +90,7 @@
             service.id: ServiceTimes(service.service_ms / 1000)
             for service in deployment.services
         }
+        self.even_part = even_parts(deployment)
         self.polling: set[ServiceId] = set()
         node.hooks.register(self)
 
@@ -130,8 +132,13 @@
         return call.deadline - min(likely_s, MOST_SERVICE_PART * remaining)
 
     def capacity_per_s(self, service: ServiceId) -> float:
-        """Return how many requests this entry's slots finish in a second."""
-        usable = sum(self.slots.free(service).values()) + self.in_use[service]
+        """Return how many requests this entry's slots finish in a second.
+
+        Slots follow the work, so an entry that holds few is credited with an
+        even part of the service's.
+        """
+        held = sum(self.slots.free(service).values()) + self.in_use[service]
+        usable = max(float(held), self.even_part[service])
         return usable / max(self.times[service].mean_s, 0.001)
 
     async def wait(
@@ -316,6 +323,14 @@
             queue.floors = dict(self.plans.floors(service))
 
 
+def even_parts(deployment: Deployment) -> dict[ServiceId, float]:
+    """Return each service's slots over the number of entries."""
+    parts = dict.fromkeys((service.id for service in deployment.services), 0.0)
+    for instance in deployment.instances:
+        parts[instance.service] += instance.slots / len(deployment.entries)
+    return parts
+
+
 def expire(future: asyncio.Future[Slot]) -> None:
     """End a wait that can no longer lead to an answer in time."""
     if not future.done():
