Drain instances from any source and stop entries without cutting requests

Cause: a leaving instance went on getting work, and SIGTERM closed connections in the middle of answers. Change: operators' drains, the platform's list, health answers and the draining header each start a drain that entries spread; an entry's planned stop announces itself, serves on for the look-up answers' time to live, finishes its requests and hands its order records over; a signal during the start ends it.

--- a/src/masticdeck/application.py
+++ b/src/masticdeck/application.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Awaitable, Callable
 from typing import Protocol
 
 from masticdeck.events import Code, EventLog
@@ -23,13 +24,14 @@
 
     Components start in the order in which they were added and stop in the
     reverse order. A component that fails to stop is logged, and the others
-    are still stopped.
+    are still stopped. ``before_stop`` holds what a planned stop does first.
     """
 
     def __init__(self, events: EventLog) -> None:
         self.events = events
         self.components: list[Component] = []
         self.started: list[Component] = []
+        self.before_stop: list[Callable[[], Awaitable[None]]] = []
 
     def add(self, component: Component) -> None:
         """Append a component."""
@@ -46,6 +48,11 @@
             raise
         self.events.emit(Code.PROCESS_STARTED)
 
+    async def finish(self) -> None:
+        """Let the process finish its work before a planned stop."""
+        for hook in self.before_stop:
+            await hook()
+
     async def stop(self) -> None:
         """Stop the started components in reverse order."""
         self.events.emit(Code.PROCESS_STOPPING)
--- /dev/null
+++ b/src/masticdeck/coordination/drains.py
@@ -0,0 +1,135 @@
+"""Drains: something that leaves gets no new work, whoever says so first.
+
+An operator's drain, the platform's list of VMs, an instance's health answer
+and the ``Masticdeck-Draining`` header of any answer are each enough. The news
+goes from entry to entry, and every entry calls the hook ``instance_leaving``.
+An instance returns when no source says any more that it is leaving.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Iterable
+from typing import Any
+
+from masticdeck.coordination.drain_notes import (
+    DrainNote,
+    DrainNotes,
+    DrainSource,
+    names_said,
+)
+from masticdeck.coordination.drain_peers import DrainPeers
+from masticdeck.coordination.drain_sources import (
+    InstanceDrains,
+    OperatorDrains,
+    PlatformDrains,
+)
+from masticdeck.coordination.membership import Membership
+from masticdeck.events import Code
+from masticdeck.ids import InstanceId
+from masticdeck.node import Node
+
+REPAIR_S = 5.0
+FIRST_REPAIR_S = 0.2
+
+
+class Drains:
+    """This entry's view of what is draining."""
+
+    def __init__(self, node: Node, membership: Membership) -> None:
+        self.node = node
+        self.membership = membership
+        self.notes = DrainNotes()
+        self.leaving: set[str] = set()
+        self.peers = DrainPeers(node, membership, self.notes, self.learn)
+        self.tasks: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Begin to watch every source."""
+        sources = (
+            OperatorDrains(self.node, self.membership, self.observe_all),
+            PlatformDrains(self.node, self.membership, self.observe_all),
+            InstanceDrains(self.node, self.membership, self.observe),
+        )
+        self.tasks = [asyncio.create_task(source.run()) for source in sources]
+        self.tasks.append(asyncio.create_task(self.repair()))
+
+    async def stop(self) -> None:
+        """Stop watching."""
+        tasks = [*self.tasks, *self.peers.tasks]
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def see_header(self, instance: InstanceId) -> None:
+        """Take note that an answer carried ``Masticdeck-Draining``."""
+        self.observe(instance, DrainSource.INSTANCE, True)
+
+    def observe(self, name: str, source: DrainSource, leaving: bool) -> None:
+        """Take note of what a source says now, and tell the others if it is new."""
+        if self.notes.says(name, source) == leaving:
+            return
+        note = DrainNote(
+            name=name, source=source, leaving=leaving, stamp=self.node.clock.stamp()
+        )
+        self.peers.spread(self.learn([note]))
+
+    def observe_all(self, names: set[str], source: DrainSource) -> None:
+        """Take note of everything that a source says is leaving now."""
+        for name in sorted(names | names_said(self.notes, source)):
+            self.observe(name, source, name in names)
+
+    def learn(self, notes: Iterable[DrainNote]) -> list[DrainNote]:
+        """Take notes in, call the hooks, and return those that were new."""
+        new: list[DrainNote] = []
+        for note in notes:
+            self.node.clock.receive(note.stamp)
+            if self.notes.merge(note):
+                new.append(note)
+                self.update(note)
+        return new
+
+    def update(self, note: DrainNote) -> None:
+        """Call the hook when a note changed whether something is leaving."""
+        leaving = self.notes.leaving(note.name)
+        if leaving == (note.name in self.leaving):
+            return
+        (self.leaving.add if leaving else self.leaving.discard)(note.name)
+        self.announce(note, leaving=leaving)
+
+    def announce(self, note: DrainNote, *, leaving: bool) -> None:
+        """Tell the other components and the event log."""
+        code = Code.DRAIN_SEEN if leaving else Code.DRAIN_ENDED
+        source = note.source.value
+        if note.name in self.node.deployment.instance_by_id:
+            instance = InstanceId(note.name)
+            self.node.events.emit(code, instance=instance, source=source)
+            hook = self.node.hooks.hook
+            if leaving:
+                hook.instance_leaving(instance=instance, source=source)
+            else:
+                hook.instance_returned(instance=instance, source=source)
+        elif note.name in self.node.deployment.entry_by_id:
+            self.node.events.emit(code, entry=note.name, source=source)
+            if leaving and note.name == self.node.id:
+                self.membership.leave()
+
+    async def repair(self) -> None:
+        """Compare notes with another entry now and then, for ever."""
+        await asyncio.sleep(FIRST_REPAIR_S)
+        while True:
+            others = [one for one in self.membership.alive() if one != self.node.id]
+            if others:
+                await self.peers.repair(random.choice(others))
+            await asyncio.sleep(REPAIR_S if others else FIRST_REPAIR_S)
+
+    def describe(self) -> dict[str, Any]:
+        """Return what is leaving, and who says so, for the page ``/-/drain``."""
+        said = [note for note in self.notes if note.leaving]
+        return {
+            "leaving": sorted(self.leaving),
+            "notes": [
+                {"name": note.name, "source": note.source.value} for note in said
+            ],
+        }
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -9,6 +9,8 @@
 from masticdeck.application import Application, Component
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.drains import Drains
+from masticdeck.coordination.leaving import Leaving
 from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
@@ -65,6 +67,8 @@
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
+    drains = Drains(node, membership)
+    backends.see_draining = drains.see_header
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
     configuration = build_configuration(node, membership)
@@ -72,6 +76,7 @@
         node, policy, backends, metrics, order_forwarder, configuration.rollout
     )
     services: list[IServable] = [OrderService(orders), membership.links, shares]
+    services.append(drains.peers)
     services.append(configuration.service)
     server = EntryServer(
         node,
@@ -79,8 +84,13 @@
         forwarder,
         Inspection(node, metrics),
         configuration.api,
+        drains,
+    )
+    leaving = Leaving(
+        node, membership=membership, orders=orders, server=server, forwarder=forwarder
     )
     application = Application(events)
+    application.before_stop.append(leaving.run)
     components: list[Component] = [
         store,
         vms,
@@ -90,6 +100,7 @@
         membership,
         shares,
         *configuration.components,
+        drains,
         backends,
         server,
     ]
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -55,6 +55,7 @@
         self.rollout = rollout
         self.sequence = 0
         self.in_flight = 0
+        self.leaving = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
@@ -202,6 +203,8 @@
             self.policy.count_small(slot, length)
             return await self.pass_small(answer, fields)
         response = web.StreamResponse(status=answer.status, headers=fields)
+        if self.leaving:
+            response.force_close()
         await response.prepare(request)
         try:
             async for chunk in answer.content.iter_any():
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 
+from masticdeck.coordination.drains import Drains
 from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.inspection import Inspection
 from masticdeck.entry.lookup import Lookup
@@ -23,12 +24,15 @@
         forwarder: Forwarder,
         inspection: Inspection,
         operators: OperatorApi,
+        drains: Drains,
     ) -> None:
         self.node = node
         self.lookup = lookup
         self.forwarder = forwarder
         self.inspection = inspection
         self.operators = operators
+        self.drains = drains
+        self.leaving = False
         self.runner: web.ServerRunner | None = None
 
     async def start(self) -> None:
@@ -46,13 +50,26 @@
         entry = self.node.entry
         await web.TCPSite(self.runner, entry.host, entry.http_port).start()
 
+    async def stop_listening(self) -> None:
+        """Accept no further connection; those that are open go on."""
+        if self.runner is not None:
+            for site in list(self.runner.sites):
+                await site.stop()
+
     async def stop(self) -> None:
         """Stop listening and close the connections."""
         if self.runner is not None:
             await self.runner.cleanup()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Dispatch one request."""
+        """Answer one request; a leaving entry closes the connection after it."""
+        response = await self.dispatch(request)
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request by its path."""
         path = request.raw_path
         if path.startswith(SERVICE_PREFIX):
             return await self.forwarder.handle(request)
@@ -60,6 +77,8 @@
             return await self.lookup.handle(request)
         if path.startswith(PREFIX):
             return await self.operators.handle(request)
+        if path == "/-/drain":
+            return web.json_response(self.drains.describe())
         page = self.inspection.answer(request)
         if page is not None:
             return page
--- a/src/masticdeck/programs/runtime.py
+++ b/src/masticdeck/programs/runtime.py
@@ -52,6 +52,9 @@
 async def serve(application: Application) -> int:
     """Start an application, wait for SIGTERM or SIGINT, and stop it.
 
+    A signal during the start ends it; further signals during the stop change
+    nothing.
+
     SIGUSR1 turns debug logging on and SIGUSR2 back to the level of the start.
     """
     stopping = asyncio.Event()
@@ -61,8 +64,16 @@
     level = logging.getLogger().level
     loop.add_signal_handler(signal.SIGUSR1, set_level, logging.DEBUG)
     loop.add_signal_handler(signal.SIGUSR2, set_level, level)
-    await application.start()
-    await stopping.wait()
+    starting = asyncio.create_task(application.start())
+    waiting = asyncio.create_task(stopping.wait())
+    await asyncio.wait({starting, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        starting.cancel()
+        await asyncio.wait({starting})
+        return EXIT_OK
+    starting.result()
+    await waiting
+    await application.finish()
     await application.stop()
     return EXIT_OK
 
--- a/src/masticdeck/protocol/backend.py
+++ b/src/masticdeck/protocol/backend.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import AsyncIterable
+from collections.abc import AsyncIterable, Callable
 
 from aiohttp import (
     ClientConnectorError,
@@ -45,11 +45,15 @@
 
 
 class Backends:
-    """Connections to all backend instances, kept alive between requests."""
+    """Connections to all backend instances, kept alive between requests.
+
+    ``see_draining`` is called when an answer says that its instance drains.
+    """
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.session: ClientSession | None = None
+        self.see_draining: Callable[[InstanceId], None] | None = None
 
     async def start(self) -> None:
         """Open the session; connections open at first use."""
@@ -88,10 +92,13 @@
         fields[headers.PRIORITY] = headers.format_priority(call.rank)
         url = f"http://{instance.host}:{instance.port}{call.path}"
         try:
-            return await self.session.request(
+            answer = await self.session.request(
                 call.method, url, headers=fields, data=body, allow_redirects=False
             )
         except ClientConnectorError as error:
             raise BackendNotReached(f"{instance_id}: {error.os_error}") from error
         except (ClientError, OSError) as error:
             raise BackendBroken(f"{instance_id}: {type(error).__name__}") from error
+        if headers.DRAINING in answer.headers and self.see_draining is not None:
+            self.see_draining(instance_id)
+        return answer
