--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -25,6 +25,8 @@
 
     Times are in seconds unless the name says otherwise. ``policy`` names a
     registered policy; ``lookup_ttl_s`` is how long callers may keep an answer.
+    ``header_timeout_s`` bounds the arrival of a request's head, ``answer_stall_s``
+    the pauses in a large answer.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -38,6 +40,9 @@
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
     slots: Annotated[str, Field(pattern="^(static|shares)$")] = "shares"
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    keep_alive_s: Annotated[float, Field(gt=0)] = 75.0
+    header_timeout_s: Annotated[float, Field(gt=0)] = 10.0
+    answer_stall_s: Annotated[float, Field(gt=0)] = 2.0
     share_report_s: Annotated[float, Field(gt=0)] = 1.0
     share_outage_s: Annotated[float, Field(ge=0)] = 600.0
     share_outage_ttl_s: Annotated[float, Field(gt=0)] = 120.0
--- a/src/masticdeck/coordination/admission.py
+++ b/src/masticdeck/coordination/admission.py
@@ -2,8 +2,10 @@
 
 A queue is ordered by rank, then fairly between customers by the capacity of
 their plans, then by deadline. Each rank keeps a floor: a part of the grants
-that a flood of other ranks cannot take. A call whose expected wait exceeds
-what its deadline leaves is refused at once, before its body is read.
+that a flood of other ranks cannot take. The floor is kept over several grants
+rather than at each, so that a short burst of urgent work goes first. A call
+whose expected wait exceeds what its deadline leaves is refused at once, before
+its body is read.
 """
 
 from __future__ import annotations
@@ -12,7 +14,7 @@
 import heapq
 import itertools
 import math
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
 from dataclasses import dataclass, field
 
 from masticdeck.coordination.slots import Slot
@@ -23,7 +25,9 @@
 RANKS = (Rank.URGENT, Rank.MIDDLE, Rank.LOW)
 DEFAULT_FLOORS = {Rank.URGENT: 0.3, Rank.MIDDLE: 0.2, Rank.LOW: 0.1}
 RATE_WINDOW_S = 1.0
-MOST_CREDIT = 2.0
+DUE_CREDIT = 3.0
+MOST_CREDIT = 6.0
+LEAST_CREDIT = -3.0
 ALWAYS_QUEUED = 2
 MAX_RETRY_AFTER_S = 30.0
 MIN_RATE = 0.1
@@ -55,6 +59,7 @@
     avoid: frozenset[InstanceId]
     latest: float
     future: asyncio.Future[Slot]
+    queued: bool = True
 
 
 @dataclass(slots=True, eq=False)
@@ -138,26 +143,31 @@
         self.waiting = 0
 
     def push(self, waiter: Waiter, weight: float) -> None:
-        """Add a waiting call; ``done`` must be called once when its wait ends."""
+        """Add a waiting call; ``done`` must be called when its wait ends."""
         queue = self.ranks[waiter.call.rank]
         queue.push(waiter, next(self.numbers), weight)
         queue.count += 1
         self.waiting += 1
 
     def done(self, waiter: Waiter) -> None:
-        """Count a call out that no longer waits."""
+        """Count a call out that no longer waits; may be called again."""
+        if not waiter.queued:
+            return
+        waiter.queued = False
         self.ranks[waiter.call.rank].count -= 1
         self.waiting -= 1
 
-    def select(self) -> tuple[RankQueue, Lane] | None:
-        """Return whose turn it is: a rank below its floor, or the most urgent."""
-        due = [queue for queue in self.ranks.values() if queue.credit >= 1.0]
+    def candidates(self) -> Iterator[tuple[RankQueue, Lane]]:
+        """Return whose turn it is: ranks below their floor, then the most urgent.
+
+        Later ones follow for a slot that the first cannot use.
+        """
+        due = [queue for queue in self.ranks.values() if queue.credit >= DUE_CREDIT]
         due.sort(key=lambda queue: -queue.credit)
-        for queue in (*due, *self.ranks.values()):
+        for queue in dict.fromkeys((*due, *self.ranks.values())):
             lane = queue.first() if queue.count else None
             if lane is not None:
-                return queue, lane
-        return None
+                yield queue, lane
 
     def grant(self, chosen: RankQueue, lane: Lane, now: float) -> Waiter:
         """Remove the selected call and settle what each rank is owed."""
@@ -165,10 +175,11 @@
             if queue.count:
                 credit = queue.credit + self.floors.get(rank, 0.0)
                 queue.credit = min(MOST_CREDIT, credit)
-        chosen.credit = max(0.0, chosen.credit - 1.0)
+        chosen.credit = max(LEAST_CREDIT, chosen.credit - 1.0)
         chosen.granted.add(now)
         waiter = lane.heap[0][2]
         chosen.charge(lane)
+        self.done(waiter)
         return waiter
 
     def expected_wait_s(
