--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -67,6 +67,7 @@
         self.id_prefix = f"{node.id}-{node.incarnation:x}-"
         self.sequence = 0
         self.in_flight = 0
+        self.leaving = False
         self.version = Version(0)
         node.hooks.register(self)
 
@@ -88,7 +89,9 @@
             )
             if is_order(call):
                 fields = forward_fields(request, call)
-                return await self.orders.handle(request, call, fields)
+                answered = await self.orders.handle(request, call, fields)
+                answered.headers[headers.VERSION] = str(self.version)
+                return answered
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
