Measure shares under a moving load; take over from an ended owner at once

Cause: a killed owner's lease kept its region's units in place for up to 3 s, and a successor could have settled before it had entered itself in the store. Change: a candidate deletes the key of an owner whose peer port refuses; units are settled only after the record of the last owner is written; bench shares.

--- a/bench/experiments/shares.py
+++ b/bench/experiments/shares.py
@@ -39,6 +39,7 @@
 RESUME_AT_S = 16.0
 DOWN_AT_S = 18.0
 UP_AT_S = 22.0
+WATCH_S = 0.5
 SEED = 7
 
 
@@ -111,6 +112,20 @@
         one.failed_at = time.time()
 
 
+async def watch_over(fleet: Fleet, instances: list[str]) -> None:
+    """Print when instances first saw requests over their slots."""
+    start = time.time()
+    seen = 0
+    while True:
+        await asyncio.sleep(WATCH_S)
+        stats = await fleet.instance_stats()
+        over = {name: stats[name]["over_slots"] for name in instances}
+        if sum(over.values()) > seen:
+            seen = sum(over.values())
+            found = {name: count for name, count in over.items() if count}
+            print(f"over at {time.time() - start:.1f} s: {found}", file=sys.stderr)
+
+
 async def owner_of(fleet: Fleet, region: str) -> str:
     """Return the entry that owns a region according to the store."""
     store = HttpStore(fleet.platform_url)
@@ -281,7 +296,9 @@
         rate = LOAD * sum(slots.values()) / (SERVICE_MS / 1000)
         load = Load(fleet, service, rate)
         faults = asyncio.create_task(cause_faults(fleet, load, regions))
+        watching = asyncio.create_task(watch_over(fleet, list(slots)))
         await load.run()
+        watching.cancel()
         killed, paused = await faults
         stats = await fleet.instance_stats()
         print(f"killed {killed}, paused {paused}", file=sys.stderr)
--- a/src/masticdeck/coordination/ownership.py
+++ b/src/masticdeck/coordination/ownership.py
@@ -20,7 +20,8 @@
 from masticdeck.coordination.membership import Membership
 from masticdeck.errors import MasticdeckError, StoreConflict, StoreUnavailable
 from masticdeck.events import Code
-from masticdeck.ids import EntryId, FencingToken, RegionId
+from masticdeck.hookspec import hookimpl
+from masticdeck.ids import EntryId, FencingToken, MemberState, RegionId
 from masticdeck.node import Node
 from masticdeck.protocol.store import ABSENT, LeaseId
 
@@ -136,6 +137,8 @@
         self.failed_began = 0.0
         self.watch_after = ABSENT
         self.task: asyncio.Task[None] | None = None
+        self.owner_gone = asyncio.Event()
+        node.hooks.register(self)
 
     @property
     def margin_s(self) -> float:
@@ -234,7 +237,8 @@
         if await self.read():
             return 0.0
         if self.owner is not None:
-            return 0.0 if await self.watch() else RETRY_S
+            await self.watch()
+            return 0.0
         if rank:
             await asyncio.sleep(rank * STAGGER_S)
             if await self.read() or self.owner is not None:
@@ -255,12 +259,47 @@
         self.see_owner(EntryId(json.loads(item.value)["entry"]))
         return False
 
-    async def watch(self) -> bool:
-        """Wait for a change of the key and return whether there was one."""
-        changes = await self.node.store.watch(
-            self.key, self.watch_after, wait_s=WATCH_WAIT_S
+    async def watch(self) -> None:
+        """Wait until the key changes or its holder is said to be gone."""
+        self.owner_gone.clear()
+        watching = asyncio.ensure_future(
+            self.node.store.watch(self.key, self.watch_after, wait_s=WATCH_WAIT_S)
         )
-        return bool(changes.changes)
+        gone = asyncio.create_task(self.owner_gone.wait())
+        tasks = (watching, gone)
+        try:
+            await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+            if watching.done():
+                watching.result()
+        finally:
+            watching.cancel()
+            gone.cancel()
+            await asyncio.gather(*tasks, return_exceptions=True)
+        if self.owner_gone.is_set():
+            await self.remove_ended()
+
+    async def remove_ended(self) -> None:
+        """Delete the key of a process whose port refuses connections.
+
+        The process has ended and can act no more, so that nobody needs to
+        wait for its lease. A delete that comes late meets another revision.
+        """
+        if self.owner is None:
+            return
+        entry = self.node.deployment.entry_by_id[self.owner]
+        try:
+            _, writer = await asyncio.open_connection(entry.host, entry.peer_port)
+            writer.close()
+        except ConnectionRefusedError:
+            await self.node.store.delete(self.key, expect=self.watch_after)
+        except OSError:
+            return
+
+    @hookimpl
+    def member_changed(self, entry: EntryId, state: MemberState) -> None:
+        """Look at the holder at once when it is said to be gone."""
+        if entry == self.owner and state is MemberState.GONE:
+            self.owner_gone.set()
 
     async def acquire(self) -> None:
         """Create the key under a new lease."""
--- a/src/masticdeck/coordination/region_owner.py
+++ b/src/masticdeck/coordination/region_owner.py
@@ -62,6 +62,7 @@
         self.reported: set[EntryId] = set()
         self.settle_at = 0.0
         self.settled = False
+        self.recorded = False
         self.wake = asyncio.Event()
         self.outlasting = False
         self.prior_owner: EntryId | None = None
@@ -135,6 +136,7 @@
         self.ledger = Ledger(self.node.deployment, self.region)
         self.ledger.leaving = leaving
         self.settled = False
+        self.recorded = False
         self.reported = set()
         self.unsettled = {entry.id for entry in self.node.deployment.entries}
         config = self.node.config
@@ -186,6 +188,7 @@
 
     def note_prior(self, prior: EntryId | None) -> None:
         """Take into account who owned the region last, if anyone did."""
+        self.recorded = True
         self.prior_owner = prior
         if prior is None:
             self.settle_at = boottime()
@@ -240,7 +243,8 @@
     def check(self) -> None:
         """Free what nobody can hold any more, and deal it out."""
         now = boottime()
-        if not self.settled and (not self.unsettled or now > self.settle_at):
+        over = not self.unsettled or now > self.settle_at
+        if self.recorded and over and not self.settled:
             self.settled = True
             self.ledger.settle()
             self.node.events.emit(Code.SHARES_SETTLED, region=self.region)
