Authenticate entries to each other by mutual TLS with keys reloaded on change

Cause: the peer port spoke plain text to anyone. Conclusion: rotation needs no restart, but for taking an authority out.

--- a/src/masticdeck/coordination/leaving.py
+++ b/src/masticdeck/coordination/leaving.py
@@ -1,7 +1,8 @@
 """The planned stop of an entry, which cuts no request.
 
 The entry announces that it leaves, goes on serving callers that still hold a
-look-up answer naming it, then accepts no more connections, finishes what is
+look-up answer naming it (for the answers' time to live and two heartbeats, in
+which the others hear of it), then accepts no more connections, finishes what is
 in flight, and hands its order records over. Shares are given back as the
 components stop after that.
 """
@@ -20,6 +21,7 @@
 
 POLL_S = 0.02
 HAND_OVER_RESERVE_S = 2.0
+SPREAD_HEARTBEATS = 2.0
 
 
 class Listener(Protocol):
@@ -60,7 +62,9 @@
         """Leave: returns when nothing is in flight or the grace has passed."""
         self.announce()
         finding = asyncio.create_task(self.orders.leave())
-        await asyncio.sleep(self.node.config.lookup_ttl_s)
+        config = self.node.config
+        spread_s = SPREAD_HEARTBEATS * config.heartbeat_s
+        await asyncio.sleep(config.lookup_ttl_s + spread_s)
         finding.cancel()
         await self.server.stop_listening()
         ends = boottime() + self.node.config.stop_grace_s
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -34,6 +34,7 @@
 from masticdeck.protocol.vms import HttpVmList
 from masticdeck.state.deployment import load_deployment
 from masticdeck.transport.peers import PeerChannels, PeerServer, StampExchange
+from masticdeck.transport.tls import PeerTls
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -49,7 +50,10 @@
     store = HttpStore(deployment.platform.url)
     vms = HttpVmList(deployment.platform.url)
     stamps = StampExchange(clock)
-    peers = PeerChannels(deployment, stamps=stamps)
+    tls = None
+    if config.peer_tls is not None:
+        tls = PeerTls(config.peer_tls, deployment, events)
+    peers = PeerChannels(deployment, stamps=stamps, tls=tls)
     node = Node(
         config=config,
         deployment=deployment,
@@ -90,13 +94,17 @@
         node, membership=membership, orders=orders, server=server, forwarder=forwarder
     )
     application = Application(events)
+    if tls is not None:
+        application.add(tls)
     application.before_stop.append(leaving.run)
     components: list[Component] = [
         store,
         vms,
         peers,
         orders,
-        PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
+        PeerServer(
+            node.entry.host, node.entry.peer_port, services, stamps=stamps, tls=tls
+        ),
         membership,
         shares,
         *configuration.components,
--- a/src/masticdeck/transport/peers.py
+++ b/src/masticdeck/transport/peers.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import ssl
 from collections.abc import Sequence
 from typing import TYPE_CHECKING
 
@@ -18,6 +17,7 @@
 
 from masticdeck.clock import HybridClock
 from masticdeck.ids import EntryId
+from masticdeck.transport.tls import PeerTls
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
@@ -67,7 +67,7 @@
         deployment: Deployment,
         *,
         stamps: StampExchange | None = None,
-        tls: ssl.SSLContext | None = None,
+        tls: PeerTls | None = None,
     ) -> None:
         self.deployment = deployment
         self.stamps = stamps
@@ -79,7 +79,12 @@
         channel = self.channels.get(entry)
         if channel is None:
             node = self.deployment.entry_by_id[entry]
-            channel = Channel(node.host, node.peer_port, ssl=self.tls)
+            channel = Channel(
+                node.host,
+                node.peer_port,
+                ssl=None if self.tls is None else self.tls.client,
+                config=None if self.tls is None else self.tls.configuration(entry),
+            )
             if self.stamps is not None:
                 self.stamps.watch_channel(channel)
             self.channels[entry] = channel
@@ -105,7 +110,7 @@
         services: Sequence[IServable],
         *,
         stamps: StampExchange | None = None,
-        tls: ssl.SSLContext | None = None,
+        tls: PeerTls | None = None,
     ) -> None:
         self.host = host
         self.port = port
@@ -119,7 +124,11 @@
         self.server = Server(self.services)
         if self.stamps is not None:
             self.stamps.watch_server(self.server)
-        await self.server.start(self.host, self.port, ssl=self.tls)
+        context = None
+        if self.tls is not None:
+            self.tls.watch_server(self.server)
+            context = self.tls.server
+        await self.server.start(self.host, self.port, ssl=context)
 
     async def stop(self) -> None:
         """Stop listening and close the connections."""
