--- a/bench/experiments/config.py
+++ b/bench/experiments/config.py
@@ -35,6 +35,7 @@
 VERSIONS_BEFORE = 15
 VERSIONS_AFTER = 12
 TIMEOUT_S = 10.0
+SLOW_S = 0.5
 
 
 @dataclass
@@ -113,7 +114,10 @@
                 began = accepted
                 if self.excused.get(f"{entry} {version}"):
                     began = max(accepted, self.excused[f"{entry} {version}"])
-                worst = max(worst, min(shown) - began)
+                delay = min(shown) - began
+                if delay > SLOW_S:
+                    log(f"version {version} took {delay:.3f} s at {entry}")
+                worst = max(worst, delay)
             delays.append(worst)
         return delays
 
