--- a/src/masticdeck/coordination/ledger.py
+++ b/src/masticdeck/coordination/ledger.py
@@ -23,7 +23,7 @@
     StoreBehind,
     WriteUnknown,
 )
-from masticdeck.state.deployment import Model
+from masticdeck.state.deployment import Deployment, Model
 from masticdeck.state.lists import Configuration
 
 T = TypeVar("T")
@@ -130,6 +130,28 @@
             key = f"{ACCEPTED_PREFIX}{old.accepted.id}"
             await self.put_once(key, old.accepted.model_dump_json().encode())
 
+    async def restore(
+        self, configuration: Configuration, deployment: Deployment
+    ) -> bool:
+        """Write the version in force over an older one that the store shows.
+
+        Returns whether it was written. A store of which only the reads lag
+        refuses the write, because its revision is not the one that was read.
+        """
+        item = await self.store.get(LEDGER_KEY)
+        ledger = Ledger() if item is None else decode_ledger(item.value)
+        if ledger.version >= configuration.version:
+            return False
+        restored = ledger.model_copy(
+            update={"version": configuration.version, "lists": configuration.lists}
+        )
+        for proposal in ledger.proposals:
+            restored = restored.rebase(proposal, deployment)
+        revision = ABSENT if item is None else item.revision
+        value = restored.model_dump_json().encode()
+        await self.store.put(LEDGER_KEY, value, expect=revision)
+        return True
+
     async def put_once(self, key: str, value: bytes) -> None:
         """Write a key that never changes, unless it is there."""
         try:
--- a/src/masticdeck/coordination/veto_window.py
+++ b/src/masticdeck/coordination/veto_window.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import contextlib
+from collections.abc import Callable
 from typing import Protocol
 
 from masticdeck.clock import boottime
@@ -17,13 +18,21 @@
 from masticdeck.errors import MasticdeckError
 from masticdeck.events import Code
 from masticdeck.ids import FencingToken, ProposalId
-from masticdeck.state.acceptance import Ledger, NoLongerFits, Proposal, Settled
+from masticdeck.state.acceptance import (
+    Ledger,
+    NoLongerFits,
+    Proposal,
+    Settled,
+    StoreBehind,
+)
 from masticdeck.state.changes import DeltaConflict
+from masticdeck.state.lists import Configuration
 
 OWNER_NAME = "acceptance"
 MAX_POLL_S = 0.5
 POLLS_PER_WINDOW = 8
 MAX_GAP_POLLS = 4
+RESTORE_AFTER_S = 10.0
 
 
 class Owner(Protocol):
@@ -50,11 +59,18 @@
     """Ends veto windows and accepts what operators asked to accept."""
 
     def __init__(
-        self, acceptance: Acceptance, owner: Owner, *, window_s: float
+        self,
+        acceptance: Acceptance,
+        owner: Owner,
+        *,
+        window_s: float,
+        in_force: Callable[[], Configuration | None] = lambda: None,
     ) -> None:
         self.acceptance = acceptance
         self.owner = owner
         self.window_s = window_s
+        self.in_force = in_force
+        self.behind_since: float | None = None
         self.poll_s = min(MAX_POLL_S, window_s / POLLS_PER_WINDOW)
         self.counted: dict[tuple[ProposalId, int], float] = {}
         self.last_read: float | None = None
@@ -76,9 +92,37 @@
         """Count for ever."""
         while True:
             with contextlib.suppress(MasticdeckError):
-                await self.turn()
+                await self.turn_or_restore()
             await asyncio.sleep(self.poll_s)
 
+    async def turn_or_restore(self) -> None:
+        """Count, or write the version in force back to a store that lost it.
+
+        The wait lets a still newer version that another node has in force
+        reach this one first.
+        """
+        try:
+            await self.turn()
+        except StoreBehind:
+            now = boottime()
+            if self.behind_since is None:
+                self.behind_since = now
+            if now - self.behind_since >= RESTORE_AFTER_S:
+                await self.restore()
+        else:
+            self.behind_since = None
+
+    async def restore(self) -> None:
+        """Write the version in force back, if this node is the owner."""
+        configuration = self.in_force()
+        if configuration is None or not self.owner.valid():
+            return
+        file = self.acceptance.file
+        if await file.restore(configuration, self.acceptance.deployment):
+            self.acceptance.events.emit(
+                Code.VERSION_RESTORED, version=configuration.version
+            )
+
     async def turn(self) -> None:
         """Read the ledger once and count on."""
         if not self.owner.valid():
--- a/src/masticdeck/entry/configuration.py
+++ b/src/masticdeck/entry/configuration.py
@@ -44,7 +44,12 @@
         node.store, node.deployment, node.events, lambda: rollout.version
     )
     owner = Ownership(node, OWNER_NAME, membership=membership)
-    windows = VetoWindows(acceptance, owner, window_s=node.config.veto_window_s)
+    windows = VetoWindows(
+        acceptance,
+        owner,
+        window_s=node.config.veto_window_s,
+        in_force=lambda: rollout.configuration,
+    )
 
     def status() -> dict[str, Any]:
         return {
--- a/testing/coordination/test_acceptance.py
+++ b/testing/coordination/test_acceptance.py
@@ -4,12 +4,13 @@
 
 import asyncio
 import contextlib
+import copy
 
 import pytest
 
 from masticdeck.coordination.ledger import LEDGER_KEY
-from masticdeck.coordination.veto_window import OwnerLapsed
-from masticdeck.errors import StoreUnavailable
+from masticdeck.coordination.veto_window import RESTORE_AFTER_S, OwnerLapsed
+from masticdeck.errors import StoreConflict, StoreUnavailable
 from masticdeck.ids import CustomerId, InstanceId, PlanId, ProposalId, Version
 from masticdeck.state.acceptance import (
     AcceptedAlready,
@@ -24,6 +25,7 @@
 from masticdeck.state.checks import ListsInvalid
 from masticdeck.state.lists import Customer, CustomerList, Lists, Plan, PlanList
 from testing.coordination.configuration_world import (
+    DEPLOYMENT,
     LISTS,
     WINDOW_S,
     FakeOwner,
@@ -291,3 +293,37 @@
             await windows.turn()
         world.now += windows.poll_s
     assert (await world.acceptance.ledger()).version == 1
+
+
+async def test_store_that_lost_a_version_gets_it_back_after_a_wait(world):
+    old = world.store.raw(LEDGER_KEY)
+    windows = world.windows()
+    await world.propose("cut", with_capacity("partner", 0.25))
+    await world.pass_time(windows, WINDOW_S)
+    await world.acceptance.accept(CUT, by="alice")
+    accepted = await world.acceptance.ledger()
+    world.floor = accepted.version
+    windows.in_force = lambda: accepted.configuration
+    await world.store.put(LEDGER_KEY, old)
+    await windows.turn_or_restore()
+    with pytest.raises(StoreBehind):
+        await world.acceptance.ledger()
+    world.now += RESTORE_AFTER_S
+    await windows.turn_or_restore()
+    restored = await world.acceptance.ledger()
+    assert restored.version == 2
+    assert restored.lists.digest == accepted.lists.digest
+
+
+async def test_store_of_which_only_the_reads_lag_is_not_written(world):
+    windows = world.windows()
+    await world.propose("cut", with_capacity("partner", 0.25))
+    await world.pass_time(windows, WINDOW_S)
+    stale = copy.deepcopy(world.store.platform.state)
+    await world.acceptance.accept(CUT, by="alice")
+    accepted = await world.acceptance.ledger()
+    world.store.platform.stale = stale
+    with pytest.raises(StoreConflict):
+        await world.acceptance.file.restore(accepted.configuration, DEPLOYMENT)
+    world.store.platform.stale = None
+    assert (await world.acceptance.ledger()).fence == accepted.fence
