--- a/bench/experiments/config.py
+++ b/bench/experiments/config.py
@@ -38,6 +38,15 @@
 SLOW_S = 0.5
 
 
+@dataclass(frozen=True)
+class Absence:
+    """A span in which an entry was paused or not running."""
+
+    entry: str
+    began: float
+    until: float
+
+
 @dataclass
 class Observer:
     """What was seen at each entry."""
@@ -47,7 +56,7 @@
     seen: dict[str, int] = field(default_factory=dict)
     shown_at: dict[str, list[tuple[int, float]]] = field(default_factory=dict)
     accepted_at: dict[int, float] = field(default_factory=dict)
-    excused: dict[str, float] = field(default_factory=dict)
+    away: list[Absence] = field(default_factory=list)
     down: set[str] = field(default_factory=set)
     reverts: int = 0
     answers: int = 0
@@ -111,9 +120,7 @@
                 shown = [at for v, at in self.shown_at[entry] if v >= version]
                 if not shown:
                     return [float("inf")]
-                began = accepted
-                if self.excused.get(f"{entry} {version}"):
-                    began = max(accepted, self.excused[f"{entry} {version}"])
+                began = max([accepted, *self.returns(entry, accepted)])
                 delay = min(shown) - began
                 if delay > SLOW_S:
                     log(f"version {version} took {delay:.3f} s at {entry}")
@@ -121,12 +128,13 @@
             delays.append(worst)
         return delays
 
-    def excuse(self, entry: str) -> None:
-        """Note that an entry runs again: its pending versions count from now."""
-        now = time.monotonic()
-        for version, accepted in self.accepted_at.items():
-            if self.seen.get(entry, 0) < version and accepted < now:
-                self.excused[f"{entry} {version}"] = now
+    def returns(self, entry: str, moment: float) -> list[float]:
+        """Return when an entry ran again that stood still at a moment."""
+        return [
+            one.until
+            for one in self.away
+            if one.entry == entry and one.began <= moment <= one.until
+        ]
 
 
 def log(text: str) -> None:
@@ -198,19 +206,21 @@
     lagging, killed, cold = fleet.entry_ids[3], fleet.entry_ids[4], fleet.entry_ids[7]
     log("a peer is paused")
     observer.down.add(lagging)
+    began = time.monotonic()
     fleet.pause(lagging)
     await operator.accept_many(round(PAUSE_S / PERIOD_S))
-    observer.excuse(lagging)
+    observer.away.append(Absence(lagging, began, time.monotonic()))
     fleet.resume(lagging)
     observer.down.discard(lagging)
     log("an entry is restarted")
     observer.down.add(killed)
+    began = time.monotonic()
     await fleet.kill(killed)
     restart = asyncio.create_task(fleet.start_entry(killed))
     while not restart.done():
         await operator.accept_many(1)
     await restart
-    observer.excuse(killed)
+    observer.away.append(Absence(killed, began, time.monotonic()))
     observer.down.discard(killed)
     log("the store is down, and an entry is restarted meanwhile")
     await fleet.control_platform(down=True)
--- a/src/masticdeck/coordination/rollout_peers.py
+++ b/src/masticdeck/coordination/rollout_peers.py
@@ -1,7 +1,7 @@
 """Spreads accepted configurations between entries over gRPC.
 
 Two entries of each zone watch the store; every other entry keeps a stream open
-to each of them. The watchers keep one to a watcher of the next zone, so that a
+to each of them, so that it has two sources. The watchers keep one to a watcher of the next zone, so that a
 version also reaches zones that cannot reach the store.
 """
 
@@ -134,11 +134,16 @@
         return self.node.id in mine[: self.watchers] or not mine
 
     def targets(self) -> set[EntryId]:
-        """Return the entries that this one follows."""
+        """Return the entries that this one follows.
+
+        Every entry has two sources: a watcher the store and the next zone, the
+        others two watchers, of the next zone if their own has only one.
+        """
         mine = self.ranked(self.node.entry.zone)[: self.watchers]
-        if self.node.id not in mine:
-            return set(mine)
-        return self.next_zone_watcher()
+        if self.node.id in mine:
+            return self.next_zone_watcher()
+        chosen = set(mine)
+        return chosen if len(chosen) > 1 else chosen | self.next_zone_watcher()
 
     def next_zone_watcher(self) -> set[EntryId]:
         """Return one watcher of the next zone that has a live entry."""
