--- a/src/masticdeck/coordination/rollout_peers.py
+++ b/src/masticdeck/coordination/rollout_peers.py
@@ -1,8 +1,9 @@
 """Spreads accepted configurations between entries over gRPC.
 
 Two entries of each zone watch the store; every other entry keeps a stream open
-to each of them, so that it has two sources. The watchers keep one to a watcher of the next zone, so that a
-version also reaches zones that cannot reach the store.
+to each of them, so that it has two sources. The watchers keep one to a watcher
+of the next zone, so that a version also reaches zones that cannot reach the
+store.
 """
 
 from __future__ import annotations
