--- a/bench/experiments/config.py
+++ b/bench/experiments/config.py
@@ -60,6 +60,12 @@
     down: set[str] = field(default_factory=set)
     reverts: int = 0
     answers: int = 0
+    moves: int = 0
+
+    @property
+    def service(self) -> str:
+        """Return the service that the moving caller uses."""
+        return str(self.fleet.deployment["services"][0]["id"])
 
     async def ask(self, entry: str) -> int | None:
         """Return the version that an entry shows, or None."""
@@ -91,7 +97,7 @@
         seen = 0
         while True:
             for entry in self.fleet.entry_ids:
-                url = f"{self.fleet.entry_url(entry)}/service/tankboard/prices"
+                url = f"{self.fleet.entry_url(entry)}/service/{self.service}/page"
                 try:
                     async with self.session.get(
                         url, headers={VERSION: str(seen)}
@@ -101,6 +107,7 @@
                 except (ClientError, OSError, TimeoutError):
                     continue
                 if found is not None and found.isdigit():
+                    self.moves += 1
                     if int(found) < seen:
                         self.reverts += 1
                         log(f"a caller of {seen} was served by {found} at {entry}")
@@ -236,7 +243,9 @@
 async def run(deployment: str) -> dict[str, Any]:
     """Measure the roll-out of accepted versions."""
     entries = ENTRIES if deployment == "texas" else None
-    fleet = Fleet(deployment, entries=entries, backends=False)
+    fleet = Fleet(
+        deployment, entries=entries, service_ms={"tankboard": 2.0, "katalogs": 2.0}
+    )
     tokens = fleet.folder / "tokens.json"
     line = {"role": "operator", "name": "bench", "sha256": hash_token(TOKEN)}
     tokens.write_text(json.dumps({"tokens": [line]}), encoding="utf-8")
@@ -271,6 +280,7 @@
         "in_force_calm_s_max": round(max(calm), 3) if calm else None,
         "reverts": observer.reverts,
         "answers_observed": observer.answers,
+        "answers_to_moving_caller": observer.moves,
         "operator_repeats": operator.repeats,
         "waiting_watches": stats["waiting_watches"],
     }
