--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -9,11 +9,14 @@
 from masticdeck.application import Application, Component
 from masticdeck.clock import HybridClock
 from masticdeck.config import Config
+from masticdeck.coordination.drains import Drains
+from masticdeck.coordination.leaving import Leaving
 from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.order_peers import OrderService
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
-from masticdeck.coordination.slots import StaticSlots
+from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.slots import SlotSource, StaticSlots
 from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
@@ -59,17 +62,21 @@
         peers=peers,
     )
     membership = Membership(node)
-    slots = StaticSlots(deployment, node.id)
+    shares = Shares(node, membership)
+    slots = choose_slots(node, shares)
     policy = policies.get(config.policy)(node, slots)
     backends = Backends(deployment)
     metrics = Metrics(zone=node.entry.zone)
+    drains = Drains(node, membership)
+    backends.see_draining = drains.see_header
     orders = Orders(node)
     order_forwarder = OrderForwarder(orders, policy, backends)
     configuration = build_configuration(node, membership)
     forwarder = Forwarder(
         node, policy, backends, metrics, order_forwarder, configuration.rollout
     )
-    services: list[IServable] = [OrderService(orders), membership.links]
+    services: list[IServable] = [OrderService(orders), membership.links, shares]
+    services.append(drains.peers)
     services.append(configuration.service)
     server = EntryServer(
         node,
@@ -77,8 +84,13 @@
         forwarder,
         Inspection(node, metrics),
         configuration.api,
+        drains,
+    )
+    leaving = Leaving(
+        node, membership=membership, orders=orders, server=server, forwarder=forwarder
     )
     application = Application(events)
+    application.before_stop.append(leaving.run)
     components: list[Component] = [
         store,
         vms,
@@ -86,10 +98,19 @@
         orders,
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
+        shares,
         *configuration.components,
+        drains,
         backends,
         server,
     ]
     for component in components:
         application.add(component)
     return application
+
+
+def choose_slots(node: Node, shares: Shares) -> SlotSource:
+    """Return the source of slots that the settings name."""
+    if node.config.slots == "static":
+        return StaticSlots(node.deployment, node.id)
+    return shares.holder
--- a/src/masticdeck/events.py
+++ b/src/masticdeck/events.py
@@ -52,6 +52,14 @@
     OPERATOR_REQUEST = 320
     TOKENS_RELOADED = 321
     TOKENS_INVALID = 322
+    SHARES_TAKEN_OVER = 400
+    SHARES_SETTLED = 401
+    SHARES_STOPPED = 402
+    SHARES_EXPIRED = 403
+    SHARES_CONFLICT = 404
+    SHARES_OUTLAST_STORE = 405
+    SHARES_JOINED = 406
+    SHARES_LAPSED = 407
     REQUEST_RECEIVED = 500
     REQUEST_SENT = 501
     REQUEST_ANSWERED = 502
@@ -70,6 +78,13 @@
     ORDERS_CLOSED = 611
     ORDERS_HANDED_OVER = 612
     ORDERS_ADOPTED = 613
+    DRAIN_SEEN = 700
+    DRAIN_ENDED = 701
+    ENTRY_LEAVING = 710
+    ENTRY_FINISHED = 711
+    REQUESTS_CUT = 712
+    KEYS_RELOADED = 720
+    KEYS_INVALID = 721
     STORE_UNAVAILABLE = 900
     STORE_AVAILABLE = 901
 
@@ -97,7 +112,10 @@
 
     def emit(self, code: Code, *, level: int = logging.INFO, **fields: object) -> Event:
         """Record an event with string-valued subjects and log it."""
-        texts = {name: str(value) for name, value in fields.items()}
+        texts: dict[str, str] = fields  # type: ignore[assignment]
+        for name, value in fields.items():
+            if type(value) is not str:
+                texts[name] = str(value)
         event = Event(self.clock.stamp(), self.process, code, texts)
         self.ring.append(event)
         if logger.isEnabledFor(level):
--- a/src/masticdeck/programs/runtime.py
+++ b/src/masticdeck/programs/runtime.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import logging
 import os
 import signal
@@ -21,6 +22,9 @@
 EXIT_FAILED = 1
 EXIT_USAGE = 2
 
+COLLECT_AFTER = (10_000, 20, 50)
+"""Allocations, and collections of the younger generation, between collections."""
+
 
 def disable_io_uring() -> None:
     """Set the variable that keeps uvloop from opening an io_uring ring."""
@@ -52,6 +56,9 @@
 async def serve(application: Application) -> int:
     """Start an application, wait for SIGTERM or SIGINT, and stop it.
 
+    A signal during the start ends it; further signals during the stop change
+    nothing.
+
     SIGUSR1 turns debug logging on and SIGUSR2 back to the level of the start.
     """
     stopping = asyncio.Event()
@@ -61,12 +68,32 @@
     level = logging.getLogger().level
     loop.add_signal_handler(signal.SIGUSR1, set_level, logging.DEBUG)
     loop.add_signal_handler(signal.SIGUSR2, set_level, level)
-    await application.start()
-    await stopping.wait()
+    starting = asyncio.create_task(application.start())
+    waiting = asyncio.create_task(stopping.wait())
+    await asyncio.wait({starting, waiting}, return_when=asyncio.FIRST_COMPLETED)
+    if not starting.done():
+        starting.cancel()
+        await asyncio.wait({starting})
+        return EXIT_OK
+    starting.result()
+    settle_garbage_collector()
+    await waiting
+    await application.finish()
     await application.stop()
     return EXIT_OK
 
 
+def settle_garbage_collector() -> None:
+    """Spare the collector the objects of start-up, and let it run less often.
+
+    Modules, settings and tables live as long as the process; without this each
+    full collection walks all of them.
+    """
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(*COLLECT_AFTER)
+
+
 def set_level(level: int) -> None:
     """Change the level of all log output of this process."""
     logging.getLogger().setLevel(level)
@@ -78,4 +105,5 @@
 
     formats: dict[str, Any] = {"plain": LogFormat.plain, "json": LogFormat.json}
     basic_config(level=level, log_format=formats[style], buffered=False)
-    logging.getLogger("aiohttp").setLevel(logging.WARNING)
+    for name in ("aiohttp", "grpclib"):
+        logging.getLogger(name).setLevel(logging.WARNING)
--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -7,8 +7,11 @@
 
 from __future__ import annotations
 
+from multidict import CIMultiDict
+
 from masticdeck.ids import Rank
 
+HOST = "Host"
 PRIORITY = "Priority"
 IDEMPOTENCY_KEY = "Idempotency-Key"
 RETRY_AFTER = "Retry-After"
@@ -20,7 +23,6 @@
 VERSION = "Masticdeck-Version"
 DRAINING = "Masticdeck-Draining"
 INSTANCE = "Masticdeck-Instance"
-STAMP = "Masticdeck-Stamp"
 ATTEMPT = "Masticdeck-Attempt"
 
 URGENCY = {Rank.URGENT: 1, Rank.MIDDLE: 3, Rank.LOW: 6}
@@ -40,6 +42,23 @@
 )
 
 
+def remove_hop_by_hop(fields: CIMultiDict[str]) -> None:
+    """Drop the headers that belong to one connection, Connection's own included.
+
+    >>> fields = CIMultiDict({"Connection": "X-Trace", "X-Trace": "1", "A": "2"})
+    >>> remove_hop_by_hop(fields)
+    >>> dict(fields)
+    {'A': '2'}
+    """
+    named = fields.get("connection")
+    if named is not None:
+        for name in named.split(","):
+            fields.popall(name.strip(), None)
+    for name in HOP_BY_HOP:
+        if name in fields:
+            del fields[name]
+
+
 def parse_priority(value: str) -> Rank | None:
     """Return the rank that a Priority header asks for, or None if it has none.
 
@@ -48,7 +67,7 @@
     """
     for part in value.split(","):
         name, _, level = part.strip().partition("=")
-        if name == "u" and level.isdigit():
+        if name == "u" and level.isascii() and level.isdigit():
             return rank_of_urgency(int(level))
     return None
 
