Let one order be followed over relay, home and witness

Cause: events named the request only, which the witness never learns, and a relayed order left no event.

--- a/scripts/demo.py
+++ b/scripts/demo.py
@@ -26,7 +26,7 @@
 from masticdeck.events import Code
 from masticdeck.load.records import Record, Result, read_records
 from masticdeck.protocol.event_feed import decode_events
-from masticdeck.state.timeline import Filter, Timeline
+from masticdeck.state.timeline import Filter, Timeline, lines
 
 OUT = ROOT / "out" / "demo"
 DURATION_S = 14.0
@@ -196,6 +196,18 @@
         everywhere = reached >= set(self.fleet.entry_ids)
         self.check(f"version {self.version} is in force at every entry", everywhere)
         self.say(f"{len(timeline.events)} events kept in out/demo/events.jsonl")
+        self.show_order(timeline)
+
+    def show_order(self, timeline: Timeline) -> None:
+        """Print one order's way over three entries, and how to see it again."""
+        relayed = timeline.ordered(Filter(codes=frozenset({Code.ORDER_RELAYED})))
+        if not relayed:
+            return
+        key = relayed[0].fields["order"]
+        self.say("one order's way:")
+        for line in lines(timeline.ordered(Filter(subjects={"order": key}))):
+            self.say(f"  {line[:110]}")
+        self.say(f"  masticdeck-timeline --load out/demo/events.jsonl --order {key}")
 
 
 def print_table(records: Iterable[Record]) -> None:
--- a/src/masticdeck/coordination/order_witness.py
+++ b/src/masticdeck/coordination/order_witness.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from dataclasses import dataclass
 from typing import final
 
@@ -91,6 +92,7 @@
         if token.generation <= table.expired_through or self.full:
             return False
         table.add(OrderRecord(key=key, digest=digest, generation=token.generation))
+        self.note(Code.ORDER_INTENDED, key, token)
         return True
 
     def report(
@@ -102,6 +104,13 @@
         record = table.find(key) if table else None
         if table is not None and record is not None and record.digest == digest:
             table.finish(record, state, answer=answer)
+            self.note(Code.ORDER_WITNESSED, key, token, state=state.value)
+
+    def note(self, code: Code, key: str, token: HomeToken, **fields: object) -> None:
+        """Emit an event about an order of another home."""
+        self.node.events.emit(
+            code, level=logging.DEBUG, order=key, entry=token.home, **fields
+        )
 
     def judge(self, key: str, digest: bytes) -> RecordedAnswer | None:
         """Settle a key whose home can't be reached.
@@ -136,7 +145,7 @@
         record = OrderRecord(key=key, digest=digest, generation=token.generation)
         table.add(record)
         table.finish(record, OrderState.NOT_RUN, detail="its witness sealed it")
-        self.node.events.emit(Code.ORDER_SEALED, request=key, entry=token.home)
+        self.note(Code.ORDER_SEALED, key, token)
 
     def adopt(self, part: HandOver) -> None:
         """Take over the final records of a home that stops."""
--- a/src/masticdeck/coordination/orders.py
+++ b/src/masticdeck/coordination/orders.py
@@ -163,9 +163,7 @@
             self.running[order.key] = task
         run = self.running.get(order.key)
         if run is None:
-            self.node.events.emit(
-                Code.ORDER_REPLAYED, level=logging.DEBUG, request=order.call.id
-            )
+            self.note(Code.ORDER_REPLAYED, order)
             return record.replay()
         done, _ = await asyncio.wait({run}, timeout=order.remaining_s)
         if not done or run.cancelled():
@@ -196,9 +194,13 @@
 
     def note(self, code: Code, order: Order, **fields: object) -> None:
         """Emit an event about an order."""
-        level = logging.DEBUG
-        request = order.call.id
-        self.node.events.emit(code, level=level, request=request, **fields)
+        self.node.events.emit(
+            code,
+            level=logging.DEBUG,
+            request=order.call.id,
+            order=order.key,
+            **fields,
+        )
 
     async def declare(self, order: Order) -> None:
         """Let the witness record the intent, or raise OrderNotRun."""
@@ -233,6 +235,7 @@
 
     async def relay(self, order: Order) -> RecordedAnswer | None:
         """Let the home run the order; None when the home gave no answer."""
+        self.note(Code.ORDER_RELAYED, order, entry=order.token.home)
         reserve = min(JUDGE_RESERVE_S, order.remaining_s * JUDGE_RESERVE_PART)
         try:
             return await self.peers.relay(order, order.remaining_s - reserve)
--- a/src/masticdeck/programs/timeline.py
+++ b/src/masticdeck/programs/timeline.py
@@ -43,6 +43,9 @@
     request: Annotated[
         str | None, cappa.Arg(long=True, help="only this request's events")
     ] = None
+    order: Annotated[
+        str | None, cappa.Arg(long=True, help="only the events of this order's key")
+    ] = None
     proposal: Annotated[
         str | None, cappa.Arg(long=True, help="only this proposal's events")
     ] = None
@@ -110,7 +113,7 @@
 def make_filter(command: TimelineCommand, zones: dict[str, str]) -> Filter:
     """Return the filter that the options describe."""
     subjects = dict(split_subject(text) for text in command.subject)
-    for name in ("request", "proposal", "instance"):
+    for name in ("request", "order", "proposal", "instance"):
         value = getattr(command, name)
         if value is not None:
             subjects[name] = value
@@ -161,7 +164,8 @@
     if command.save is not None:
         command.save.write_bytes(encode_events(timeline.ordered()))
     if command.html is not None:
-        title = command.request or command.proposal or command.instance or "time line"
+        named = (command.request, command.order, command.proposal, command.instance)
+        title = next(filter(None, named), "time line")
         command.html.write_text(render_page(events, title=title), encoding="utf-8")
     print_events(command, events)
 
