--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -25,14 +25,12 @@
     ServiceUnknown,
 )
 from masticdeck.events import Code
-from masticdeck.hookspec import hookimpl
 from masticdeck.ids import (
     CustomerId,
     InstanceId,
     Outcome,
     RequestId,
     ServiceId,
-    Version,
 )
 from masticdeck.metrics import Metrics
 from masticdeck.node import Node
@@ -67,8 +65,6 @@
         self.id_prefix = f"{node.id}-{node.incarnation:x}-"
         self.sequence = 0
         self.in_flight = 0
-        self.version = Version(0)
-        node.hooks.register(self)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
@@ -193,7 +189,7 @@
                     raise BackendNotReached(f"{slot.instance} shed the request")
                 if not delivery.bounded and is_large(answer):
                     limit.reschedule(None)
-                response = await delivery.pass_on(answer, slot, self.version)
+                response = await delivery.pass_on(answer, slot, self.rollout.version)
                 end = AttemptEnd.ANSWERED
                 return response
         except BackendNotReached:
@@ -242,11 +238,6 @@
         )
         self.metrics.record(call.service, call.rank.value, end.value, seconds)
 
-    @hookimpl
-    def version_in_force(self, version: Version) -> None:
-        """Name the new version in answers."""
-        self.version = version
-
 
 def parse_timeout(value: str | None) -> float | None:
     """Return a timeout header in milliseconds, or None when it is absent."""
