--- a/src/masticdeck/entry/delivery.py
+++ b/src/masticdeck/entry/delivery.py
@@ -75,6 +75,9 @@
             self.check_rest(answer, slot.instance)
             return await self.copy(answer, self.response, slot)
         fields = answer_fields(answer, slot.instance, version)
+        echo = self.request.headers.get(headers.ECHO)
+        if echo is not None:
+            fields[headers.ECHO] = echo
         size = answer.content_length
         if self.request.method == "HEAD" or answer.status in BODILESS:
             return web.Response(status=answer.status, headers=fields)
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -84,14 +84,23 @@
             )
             if is_order(call):
                 fields = forward_fields(request, call)
-                return await self.orders.handle(request, call, fields)
+                response = await self.orders.handle(request, call, fields)
+                return self.mark(request, response)
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
-            return error_response(error)
+            return self.mark(request, error_response(error))
         finally:
             self.in_flight -= 1
 
+    def mark(self, request: web.BaseRequest, response: web.Response) -> web.Response:
+        """Name the version, and repeat the caller's mark, in an answer."""
+        response.headers[headers.VERSION] = str(self.rollout.version)
+        echo = request.headers.get(headers.ECHO)
+        if echo is not None:
+            response.headers[headers.ECHO] = echo
+        return response
+
     def note_error(self, call: Call | None, error: MasticdeckError) -> None:
         """Record a request that ends without a backend's answer."""
         refused = error.outcome is Outcome.NOT_RUN
--- a/src/masticdeck/protocol/headers.py
+++ b/src/masticdeck/protocol/headers.py
@@ -23,6 +23,7 @@
 VERSION = "Masticdeck-Version"
 DRAINING = "Masticdeck-Draining"
 INSTANCE = "Masticdeck-Instance"
+ECHO = "Masticdeck-Echo"
 ATTEMPT = "Masticdeck-Attempt"
 
 URGENCY = {Rank.URGENT: 1, Rank.MIDDLE: 3, Rank.LOW: 6}
