--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -65,6 +65,7 @@
         self.id_prefix = f"{node.id}-{node.incarnation:x}-"
         self.sequence = 0
         self.in_flight = 0
+        self.leaving = False
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
--- a/src/masticdeck/entry/order_forward.py
+++ b/src/masticdeck/entry/order_forward.py
@@ -111,12 +111,11 @@
             answer.release()
             raise BackendNotReached(f"{slot.instance} shed the request")
         body = await read_bounded(answer, self.orders.node.config.max_order_bytes)
-        fields = [
-            (name, value)
-            for name, value in answer.headers.items()
-            if name.lower() not in headers.HOP_BY_HOP
-            and name.lower() != "content-length"
-        ]
+        kept = answer.headers.copy()
+        headers.remove_hop_by_hop(kept)
+        for name in ("Content-Length", headers.OUTCOME):
+            kept.popall(name, None)
+        fields = list(kept.items())
         fields.append((headers.INSTANCE, slot.instance))
         return RecordedAnswer(status=answer.status, fields=tuple(fields), body=body)
 
--- a/src/masticdeck/protocol/backend.py
+++ b/src/masticdeck/protocol/backend.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import AsyncIterable, Iterable
+from collections.abc import AsyncIterable, Callable, Iterable
 from typing import Any, final
 
 from aiohttp import (
@@ -88,11 +88,15 @@
 
 
 class Backends:
-    """Connections to all backend instances, kept alive between requests."""
+    """Connections to all backend instances, kept alive between requests.
+
+    ``see_draining`` is called when an answer says that its instance drains.
+    """
 
     def __init__(self, deployment: Deployment) -> None:
         self.deployment = deployment
         self.session: ClientSession | None = None
+        self.see_draining: Callable[[InstanceId], None] | None = None
         self.connectors: dict[int, TCPConnector] = {}
         self.bases: dict[InstanceId, tuple[str, str, TCPConnector]] = {}
 
@@ -149,7 +153,10 @@
             session=session,
             loop=asyncio.get_running_loop(),
         )
-        return await exchange(request, connector, instance_id)
+        answer = await exchange(request, connector, instance_id)
+        if headers.DRAINING in answer.headers and self.see_draining is not None:
+            self.see_draining(instance_id)
+        return answer
 
 
 def create_connector(part: int) -> TCPConnector:
