--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -25,14 +25,12 @@
     ServiceUnknown,
 )
 from masticdeck.events import Code
-from masticdeck.hookspec import hookimpl
 from masticdeck.ids import (
     CustomerId,
     InstanceId,
     Outcome,
     RequestId,
     ServiceId,
-    Version,
 )
 from masticdeck.metrics import Metrics
 from masticdeck.node import Node
@@ -68,8 +66,6 @@
         self.sequence = 0
         self.in_flight = 0
         self.leaving = False
-        self.version = Version(0)
-        node.hooks.register(self)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
@@ -89,16 +85,23 @@
             )
             if is_order(call):
                 fields = forward_fields(request, call)
-                answered = await self.orders.handle(request, call, fields)
-                answered.headers[headers.VERSION] = str(self.version)
-                return answered
+                response = await self.orders.handle(request, call, fields)
+                return self.mark(request, response)
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
-            return error_response(error)
+            return self.mark(request, error_response(error))
         finally:
             self.in_flight -= 1
 
+    def mark(self, request: web.BaseRequest, response: web.Response) -> web.Response:
+        """Name the version, and repeat the caller's mark, in an answer."""
+        response.headers[headers.VERSION] = str(self.rollout.version)
+        echo = request.headers.get(headers.ECHO)
+        if echo is not None:
+            response.headers[headers.ECHO] = echo
+        return response
+
     def note_error(self, call: Call | None, error: MasticdeckError) -> None:
         """Record a request that ends without a backend's answer."""
         refused = error.outcome is Outcome.NOT_RUN
@@ -196,7 +199,7 @@
                     raise BackendNotReached(f"{slot.instance} shed the request")
                 if not delivery.bounded and is_large(answer):
                     limit.reschedule(None)
-                response = await delivery.pass_on(answer, slot, self.version)
+                response = await delivery.pass_on(answer, slot, self.rollout.version)
                 end = AttemptEnd.ANSWERED
                 return response
         except BackendNotReached:
@@ -245,11 +248,6 @@
         )
         self.metrics.record(call.service, call.rank.value, end.value, seconds)
 
-    @hookimpl
-    def version_in_force(self, version: Version) -> None:
-        """Name the new version in answers."""
-        self.version = version
-
 
 def parse_timeout(value: str | None) -> float | None:
     """Return a timeout header in milliseconds, or None when it is absent."""
