--- a/src/masticdeck/coordination/share_holder.py
+++ b/src/masticdeck/coordination/share_holder.py
@@ -9,7 +9,7 @@
 from masticdeck.coordination.holding import Holding
 from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.ownership import CANDIDATES, Fence, rank_candidates
-from masticdeck.coordination.share_session import HolderSession
+from masticdeck.coordination.share_session import HolderSession, report_interval_s
 from masticdeck.coordination.slots import Slot
 from masticdeck.coordination.units import Unit, encode_units
 from masticdeck.events import Code
@@ -54,9 +54,20 @@
         self.tasks: list[asyncio.Task[None]] = []
         self.stopping = False
         self.by_service: dict[ServiceId, list[InstanceId]] = {}
+        self.report_s = self.choose_interval()
         self.place_instances()
         node.hooks.register(self)
 
+    def choose_interval(self) -> float:
+        """Return the seconds between reports while nothing changes."""
+        region_of = self.node.deployment.region_of
+        zones = [entry.zone for entry in self.node.deployment.entries]
+        return report_interval_s(
+            sum(1 for zone in zones if region_of[zone] == self.region),
+            minimum_s=self.node.config.share_report_s,
+            share_ttl_s=self.node.config.share_ttl_s,
+        )
+
     def place_instances(self) -> None:
         """Prepare a holding for each region that has instances."""
         deployment = self.node.deployment
--- a/src/masticdeck/coordination/share_session.py
+++ b/src/masticdeck/coordination/share_session.py
@@ -22,10 +22,27 @@
 SPACING_S = 0.05
 CONNECT_TIMEOUT_S = 1.0
 SILENCE_REPORTS = 4
+ENTRIES_PER_SECOND = 8
+REPORTS_PER_TTL = 3
 SENT_KEPT = 64
 FAULTS = (GRPCError, StreamTerminatedError, OSError, TimeoutError)
 
 
+def report_interval_s(
+    region_entries: int, *, minimum_s: float, share_ttl_s: float
+) -> float:
+    """Return the seconds between a holder's reports while nothing changes.
+
+    Larger regions report less often, so that their owner is not overrun, but
+    always three times within the validity of a grant.
+
+    >>> report_interval_s(4, minimum_s=1.0, share_ttl_s=10.0)
+    1.0
+    """
+    wanted = max(minimum_s, region_entries / ENTRIES_PER_SECOND)
+    return max(minimum_s, min(wanted, share_ttl_s / REPORTS_PER_TTL))
+
+
 class HolderSession:
     """Reports to one owner and takes its grants, until either side ends it.
 
@@ -88,7 +105,7 @@
 
     async def receive(self, stream: Stream[Report, Grant]) -> None:
         """Take grants until the stream ends or falls silent."""
-        limit_s = SILENCE_REPORTS * self.holder.node.config.share_report_s
+        limit_s = SILENCE_REPORTS * self.holder.report_s
         while True:
             async with asyncio.timeout(limit_s):
                 grant = await stream.recv_message()
@@ -101,7 +118,7 @@
         while True:
             await asyncio.sleep(SPACING_S)
             with suppress(TimeoutError):
-                async with asyncio.timeout(self.holder.node.config.share_report_s):
+                async with asyncio.timeout(self.holder.report_s):
                     await self.wake.wait()
             self.holder.tidy(self.region)
             await stream.send_message(self.compose(full=False))
