--- a/testing/coordination/test_drains.py
+++ b/testing/coordination/test_drains.py
@@ -4,9 +4,12 @@
 
 import asyncio
 import base64
+from typing import Any, cast
 
 from bench.fleet import Fleet
 from masticdeck.coordination.drain_notes import DrainNote, DrainNotes, DrainSource
+from masticdeck.coordination.drains import Drains
+from testing.coordination.order_network import HOME, Network
 
 SOURCES = {
     "katalogs-1": "operator",
@@ -101,3 +104,32 @@
         assert notes.leaving("x")
         notes.merge(DrainNote(name="x", source=source, leaving=False, stamp=stamp))
     assert not notes.leaving("x")
+
+
+async def test_news_goes_to_the_own_zone_and_to_one_entry_of_each_other_zone():
+    node = Network(entries=9).entries[HOME].node
+    entries = [one.id for one in node.deployment.entries]
+
+    class Everyone:
+        """A membership in which all are alive."""
+
+        def alive(self) -> list[str]:
+            return entries
+
+    drains = Drains(node, cast(Any, Everyone()))
+    told: dict[str, bool] = {}
+
+    async def tell(entry, notes, *, pass_on=False, fingerprint=0):
+        told[entry] = pass_on
+        return []
+
+    drains.peers.tell = cast(Any, tell)
+    drains.observe("katalogs-1", DrainSource.INSTANCE, True)
+    await asyncio.gather(*drains.peers.tasks)
+    zone_of = {one.id: one.zone for one in node.deployment.entries}
+    near = [one for one in entries if zone_of[one] == node.entry.zone and one != HOME]
+    far = [one for one in told if zone_of[one] != node.entry.zone]
+    assert {one for one, pass_on in told.items() if not pass_on} == set(near)
+    assert sorted(zone_of[one] for one in far) == sorted(
+        {zone.id for zone in node.deployment.zones} - {node.entry.zone}
+    )
