--- a/src/masticdeck/coordination/ranked.py
+++ b/src/masticdeck/coordination/ranked.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from dataclasses import dataclass
 
 from masticdeck.clock import boottime
@@ -18,7 +19,7 @@
     policies,
 )
 from masticdeck.coordination.retries import RetryBudget
-from masticdeck.coordination.routing import Router
+from masticdeck.coordination.routing import LARGE_ANSWER_BYTES, Router
 from masticdeck.coordination.slots import Slot, SlotSource
 from masticdeck.errors import MasticdeckError, Overloaded
 from masticdeck.events import Code
@@ -39,6 +40,8 @@
 
 SERVICE_WEIGHT = 0.05
 MOST_SERVICE_PART = 0.5
+LONG_FACTOR = 3.0
+MOST_LONG_PART = 0.5
 GATED_POLL_S = 0.01
 SERVER_ERROR = 500
 
@@ -61,6 +64,24 @@
         return self.mean_s + 2 * self.deviation_s
 
 
+class HoldTimes:
+    """Times for which requests of one service hold a slot, by rank and in all."""
+
+    def __init__(self, usual_s: float) -> None:
+        self.usual_s = usual_s
+        self.all = ServiceTimes(usual_s)
+        self.ranks = {rank: ServiceTimes(usual_s) for rank in Rank}
+
+    def add(self, rank: Rank, seconds: float) -> None:
+        """Learn from one answer."""
+        self.all.add(seconds)
+        self.ranks[rank].add(seconds)
+
+    def long(self, rank: Rank) -> bool:
+        """Return whether the rank's requests hold slots much longer than usual."""
+        return self.ranks[rank].mean_s > LONG_FACTOR * self.usual_s
+
+
 @policies.register("ranked")
 class RankedPolicy:
     """Hands slots out by rank, customer and deadline; learns from outcomes."""
@@ -86,8 +107,9 @@
         services = [service.id for service in deployment.services]
         self.queues = {service: ServiceQueue() for service in services}
         self.in_use = dict.fromkeys(services, 0)
+        self.in_use_by_rank: Counter[tuple[ServiceId, Rank]] = Counter()
         self.times = {
-            service.id: ServiceTimes(service.service_ms / 1000)
+            service.id: HoldTimes(service.service_ms / 1000)
             for service in deployment.services
         }
         self.even_part = even_parts(deployment)
@@ -128,7 +150,7 @@
         that was slow is still tried.
         """
         remaining = call.deadline - now
-        likely_s = self.times[call.service].likely_s()
+        likely_s = self.times[call.service].ranks[call.rank].likely_s()
         return call.deadline - min(likely_s, MOST_SERVICE_PART * remaining)
 
     def capacity_per_s(self, service: ServiceId) -> float:
@@ -139,7 +161,7 @@
         """
         held = sum(self.slots.free(service).values()) + self.in_use[service]
         usable = max(float(held), self.even_part[service])
-        return usable / max(self.times[service].mean_s, 0.001)
+        return usable / max(self.times[service].all.mean_s, 0.001)
 
     async def wait(
         self,
@@ -160,7 +182,7 @@
             return await future
         except asyncio.CancelledError:
             if future.done() and not future.cancelled() and not future.exception():
-                self.put_back(future.result())
+                self.put_back(future.result(), call.rank)
             raise
         finally:
             timer.cancel()
@@ -170,6 +192,8 @@
     def take(self, call: Call, avoid: frozenset[InstanceId], now: float) -> Slot | None:
         """Take a slot of the best instance, or return None."""
         free = self.slots.free(call.service)
+        if self.holds_too_many(call, free):
+            return None
         while free:
             instance = self.router.choose(free, call, avoid, now)
             if instance is None:
@@ -177,14 +201,27 @@
             slot = self.slots.take(instance)
             if slot is not None:
                 self.limits.taken(instance)
+                self.in_use_by_rank[call.service, call.rank] += 1
                 self.in_use[call.service] += 1
                 return slot
             del free[instance]
         return None
 
-    def put_back(self, slot: Slot) -> None:
+    def holds_too_many(self, call: Call, free: dict[InstanceId, int]) -> bool:
+        """Return whether requests that hold slots long have their part of them.
+
+        Large files of a lower rank would otherwise fill every slot for seconds.
+        """
+        if call.rank is Rank.URGENT or not self.times[call.service].long(call.rank):
+            return False
+        used = self.in_use_by_rank[call.service, call.rank]
+        held = sum(free.values()) + self.in_use[call.service]
+        return used >= max(1.0, MOST_LONG_PART * held)
+
+    def put_back(self, slot: Slot, rank: Rank) -> None:
         """Return a slot to its source and let the next call have it."""
         self.slots.give_back(slot)
+        self.in_use_by_rank[slot.service, rank] -= 1
         self.in_use[slot.service] -= 1
         self.limits.returned(slot.instance, boottime())
         self.dispatch(slot.service)
@@ -192,14 +229,14 @@
     def release(self, slot: Slot, call: Call, result: AttemptResult) -> None:
         """Give the slot back and learn from the attempt's result."""
         self.learn(slot.instance, call, result)
-        self.put_back(slot)
+        self.put_back(slot, call.rank)
 
     def learn(self, instance: InstanceId, call: Call, result: AttemptResult) -> None:
         """Update what is known of an instance."""
         now = boottime()
         match result.end:
             case AttemptEnd.ANSWERED if result.status < SERVER_ERROR:
-                self.answered(instance, call.service, result, now)
+                self.answered(instance, call, result, now)
             case AttemptEnd.SHED:
                 self.limits.shed(instance, now)
                 self.node.events.emit(Code.INSTANCE_SHED, instance=instance)
@@ -214,18 +251,19 @@
     def answered(
         self,
         instance: InstanceId,
-        service: ServiceId,
+        call: Call,
         result: AttemptResult,
         now: float,
     ) -> None:
-        """Learn from an answer."""
+        """Learn from an answer; the time of a large one says little of latency."""
         if self.health.succeeded(instance):
             self.limits.restart(instance)
             self.node.events.emit(Code.INSTANCE_RESTORED, instance=instance)
         if result.bytes:
-            self.router.answered(service, result.bytes)
-        self.limits.answered(instance, result.seconds, now)
-        self.times[service].add(result.seconds)
+            self.router.answered(call.service, result.bytes)
+        self.times[call.service].add(call.rank, result.seconds)
+        if result.bytes <= LARGE_ANSWER_BYTES:
+            self.limits.answered(instance, result.seconds, now)
 
     def failed(self, instance: InstanceId, now: float, *, unreachable: bool) -> None:
         """Learn from a failure."""
@@ -276,7 +314,7 @@
             return False
         if not call.idempotent and error.outcome is not Outcome.NOT_RUN:
             return False
-        expected = self.times[call.service].mean_s
+        expected = self.times[call.service].ranks[call.rank].mean_s
         if boottime() + expected > call.deadline:
             return False
         return self.budget.spend(call.service)
