--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 
+from masticdeck.coordination.drains import Drains
 from masticdeck.entry.connections import CallerConnection, CallerServer
 from masticdeck.entry.forward import SERVICE_PREFIX, Forwarder
 from masticdeck.entry.inspection import Inspection
@@ -26,12 +27,15 @@
         forwarder: Forwarder,
         inspection: Inspection,
         operators: OperatorApi,
+        drains: Drains,
     ) -> None:
         self.node = node
         self.lookup = lookup
         self.forwarder = forwarder
         self.inspection = inspection
         self.operators = operators
+        self.drains = drains
+        self.leaving = False
         self.runner: web.ServerRunner | None = None
         self.sweeper: asyncio.Task[None] | None = None
 
@@ -44,6 +48,12 @@
         await web.TCPSite(self.runner, entry.host, entry.http_port).start()
         self.sweeper = asyncio.create_task(server.sweep())
 
+    async def stop_listening(self) -> None:
+        """Accept no further connection; those that are open go on."""
+        if self.runner is not None:
+            for site in list(self.runner.sites):
+                await site.stop()
+
     async def stop(self) -> None:
         """Stop listening and close the connections."""
         if self.sweeper is not None:
@@ -63,7 +73,14 @@
             connection.end()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
-        """Dispatch one request."""
+        """Answer one request; a leaving entry closes the connection after it."""
+        response = await self.dispatch(request)
+        if self.leaving:
+            response.force_close()
+        return response
+
+    async def dispatch(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Answer one request by its path."""
         path = request.raw_path
         if path.startswith(SERVICE_PREFIX):
             return await self.forwarder.handle(request)
@@ -71,6 +88,8 @@
             return await self.lookup.handle(request)
         if path.startswith(PREFIX):
             return await self.operators.handle(request)
+        if path == "/-/drain":
+            return web.json_response(self.drains.describe())
         page = self.inspection.answer(request)
         if page is not None:
             return page
