--- a/src/masticdeck/application.py
+++ b/src/masticdeck/application.py
@@ -27,7 +27,8 @@
 
     Components start in the order in which they were added and stop in the
     reverse order. A component that fails to stop, or takes longer than
-    ``COMPONENT_STOP_S`` seconds, is logged, and the others are still stopped. ``before_stop`` holds what a planned stop does first.
+    ``COMPONENT_STOP_S`` seconds, is logged, and the others are still stopped.
+    ``before_stop`` holds what a planned stop does first.
     """
 
     def __init__(self, events: EventLog) -> None:
