Let the acceptance's state machine reach later versions

Cause: the machine passed without any second acceptance, so that switching off the history did not turn it red. Change: rules that accept without a veto in the same moment, an acceptance after a quiet window whose last step meets faults, and a window that ends in a race; a test that fails when no version beyond 2 is reached. Proposals' windows are noted at each step instead of at the end of each rule. Conclusion: the invariants on history and told outcomes are exercised.

--- a/testing/coordination/configuration_world.py
+++ b/testing/coordination/configuration_world.py
@@ -51,8 +51,10 @@
         log = EventLog("entry-1", HybridClock())
         return Acceptance(self.store, DEPLOYMENT, log, lambda: self.floor)
 
-    def windows(self, owner: FakeOwner | None = None) -> VetoWindows:
-        return VetoWindows(self.entry(), owner or FakeOwner(), window_s=WINDOW_S)
+    def windows(
+        self, owner: FakeOwner | None = None, *, window_s: float = WINDOW_S
+    ) -> VetoWindows:
+        return VetoWindows(self.entry(), owner or FakeOwner(), window_s=window_s)
 
     async def accept_first(self) -> None:
         await self.propose("first", LISTS, base=0)
--- a/testing/coordination/test_acceptance_machine.py
+++ b/testing/coordination/test_acceptance_machine.py
@@ -18,25 +18,24 @@
 from masticdeck.coordination import veto_window
 from masticdeck.coordination.acceptance import Acceptance
 from masticdeck.coordination.veto_window import VetoWindows
-from masticdeck.errors import MasticdeckError, StoreUnavailable
+from masticdeck.errors import MasticdeckError
 from masticdeck.ids import CustomerId, ProposalId
 from masticdeck.state.acceptance import (
     AcceptedAlready,
     ProposalState,
     ProposalVetoed,
     Settled,
-    WriteUnknown,
 )
 from testing.coordination.configuration_world import (
-    WINDOW_S,
     FakeOwner,
     World,
     with_capacity,
 )
 
 HOLDERS = {"partner": "partner-shops", "full": "cooperative"}
-NAMES = st.sampled_from([ProposalId(f"p{number}") for number in range(6)])
-UNSURE = (WriteUnknown, StoreUnavailable)
+NAMES = st.sampled_from([ProposalId(f"p{number}") for number in range(4)])
+SHORT_WINDOW_S = 2.0
+SEEN: set[int] = set()
 
 
 class AcceptanceMachine(RuleBasedStateMachine):
@@ -52,7 +51,7 @@
         self.run(self.world.accept_first())
         self.tokens = 1
         self.owner = FakeOwner(1)
-        self.windows = self.world.windows(self.owner)
+        self.windows = self.world.windows(self.owner, window_s=SHORT_WINDOW_S)
         self.stale_windows: list[VetoWindows] = []
         self.told: dict[ProposalId, ProposalState] = {
             ProposalId("first"): ProposalState.ACCEPTED
@@ -61,6 +60,7 @@
         self.opened: dict[tuple[str, int], float] = {}
 
     def teardown(self) -> None:
+        SEEN.add(self.ledger().version)
         veto_window.boottime, ledger_module.RETRY_S = self.saved
         self.loop.close()
 
@@ -135,16 +135,50 @@
             if late:
                 assert end.state is ProposalState.ACCEPTED
 
+    @rule(name=NAMES, seed=st.none() | st.integers(0, 999))
+    def accept(self, name, seed):
+        """Two operators accept at the same time."""
+        self.set_faults(seed)
+        entries = [self.world.entry() for _ in range(2)]
+        self.note(self.run(*(one.accept(name, by="alice") for one in entries)))
+
+    @rule(capacity=st.sampled_from([0.1, 0.2, 0.3]), seed=st.integers(0, 999))
+    def accept_after_a_quiet_window(self, capacity, seed):
+        """Only the last step, with the window over, meets faults."""
+        before = self.ledger()
+        name = ProposalId(f"quiet-{before.version}")
+        lists = with_capacity("partner", capacity, before.lists)
+        self.run(self.world.propose(name, lists, base=before.version))
+        self.holders_had_their_window()
+        for _ in range(round(SHORT_WINDOW_S / self.windows.poll_s) + 2):
+            self.run(self.windows.turn())
+            self.world.now += self.windows.poll_s
+        self.accept(name, seed)
+
+    @rule(name=NAMES, seed=st.none() | st.integers(0, 999))
+    def window_ends_in_a_race(self, name, seed):
+        """Let the window end while a customer stops the proposal."""
+        self.set_faults(seed)
+        self.world.now += self.windows.poll_s
+        shops = CustomerId(HOLDERS["partner"])
+        self.note(
+            self.run(
+                self.windows.turn(),
+                self.world.entry().veto(name, customer=shops, reason=""),
+            )
+        )
+
     @rule(name=NAMES, seed=st.none() | st.integers(0, 999))
     def withdraw(self, name, seed):
         self.set_faults(seed)
         self.note(self.run(self.world.acceptance.withdraw(name, by="alice")))
 
-    @rule(steps=st.integers(1, 12), seed=st.none() | st.integers(0, 999))
+    @rule(steps=st.integers(4, 20), seed=st.none() | st.integers(0, 999))
     def pass_time(self, steps, seed):
         for _ in range(steps):
             self.set_faults(seed)
             self.run(self.windows.turn())
+            self.holders_had_their_window()
             self.world.now += self.windows.poll_s
 
     @rule()
@@ -153,7 +187,7 @@
         self.stale_windows.append(self.windows)
         self.tokens += 1
         self.owner = FakeOwner(self.tokens)
-        self.windows = self.world.windows(self.owner)
+        self.windows = self.world.windows(self.owner, window_s=SHORT_WINDOW_S)
         self.set_faults(None)
         self.run(self.windows.turn())
 
@@ -191,18 +225,27 @@
             self.opened.setdefault((one.id, one.window), self.world.now)
             if one.holders and one.window_over:
                 began = self.opened[one.id, one.window]
-                assert self.world.now - began >= WINDOW_S - self.windows.poll_s
+                assert self.world.now - began >= SHORT_WINDOW_S - self.windows.poll_s
         for end in ledger.settled:
             began = [at for (name, _), at in self.opened.items() if name == end.id]
             if end.state is ProposalState.ACCEPTED and began:
-                assert self.world.now - max(began) >= WINDOW_S - self.windows.poll_s
+                assert (
+                    self.world.now - max(began) >= SHORT_WINDOW_S - self.windows.poll_s
+                )
 
 
 TestAcceptanceMachine = AcceptanceMachine.TestCase
 TestAcceptanceMachine.settings = settings(
-    max_examples=100,
-    stateful_step_count=25,
+    max_examples=60,
+    stateful_step_count=30,
     derandomize=True,
     deadline=None,
     suppress_health_check=list(HealthCheck),
 )
+
+
+def test_machine_reaches_later_versions():
+    """The machine above is of use only if its proposals are accepted."""
+    if not SEEN:
+        TestAcceptanceMachine("runTest").runTest()
+    assert max(SEEN) >= 3
