Wake paused owners for a whole window in the state machine

Cause: one turn of a stale owner could not end a window, so that the machine passed without the check of the fence. Change: stale owners run on for a whole window, and must change nothing. Conclusion: the machine covers the fence as the unit tests do.

--- a/testing/coordination/test_acceptance_machine.py
+++ b/testing/coordination/test_acceptance_machine.py
@@ -194,8 +194,10 @@
     @rule()
     def wake_paused_owners(self):
         before = self.ledger()
-        for windows in self.stale_windows:
-            self.run(windows.turn())
+        for _ in range(round(SHORT_WINDOW_S / self.windows.poll_s) + 2):
+            for windows in self.stale_windows:
+                self.run(windows.turn())
+            self.world.now += self.windows.poll_s
         assert self.ledger() == before
 
     @invariant()
