Test that an owner with a smaller token changes nothing

Cause: only the state machine tried an owner that goes on past a takeover, and it does not reach the end of such a window. Change: a test that lets the older owner run on, and one more turn before a takeover in the machine. Conclusion: the fence is covered by a test of its own.

--- a/testing/coordination/test_acceptance.py
+++ b/testing/coordination/test_acceptance.py
@@ -329,3 +329,17 @@
         await world.acceptance.file.restore(accepted.configuration, DEPLOYMENT)
     world.store.platform.stale = None
     assert (await world.acceptance.ledger()).fence == accepted.fence
+
+
+async def test_owner_with_a_smaller_token_changes_nothing_while_it_believes(world):
+    await world.propose("cut", with_capacity("partner", 0.25))
+    await world.acceptance.accept(CUT, by="alice")
+    first = world.windows(FakeOwner(1))
+    await world.pass_time(first, WINDOW_S * 0.5)
+    await world.windows(FakeOwner(2)).turn()
+    before = await world.acceptance.ledger()
+    for _ in range(40):
+        with pytest.raises(OwnerLapsed):
+            await first.turn()
+        world.now += first.poll_s
+    assert await world.acceptance.ledger() == before
--- a/testing/coordination/test_acceptance_machine.py
+++ b/testing/coordination/test_acceptance_machine.py
@@ -184,11 +184,12 @@
     @rule()
     def change_owner(self):
         """A paused owner keeps its belief for a moment; a new one takes over."""
+        self.set_faults(None)
+        self.run(self.windows.turn())
         self.stale_windows.append(self.windows)
         self.tokens += 1
         self.owner = FakeOwner(self.tokens)
         self.windows = self.world.windows(self.owner, window_s=SHORT_WINDOW_S)
-        self.set_faults(None)
         self.run(self.windows.turn())
 
     @rule()
