Give no new work to instances that the accepted lists name as drained

Cause: the lists' field drained was checked, proposed and rolled out, but no component acted on it. Change: the drains take the names from the configuration in force at each entry, beside the other sources; nothing is spread, since every entry has them. Conclusion: an instance leaves with the version that drains it, and returns with a later one unless another source still says that it leaves.

--- a/src/masticdeck/coordination/drains.py
+++ b/src/masticdeck/coordination/drains.py
@@ -3,6 +3,8 @@
 An operator's drain, the platform's list of VMs, an instance's health answer
 and the ``Masticdeck-Draining`` header of any answer are each enough. The news
 goes from entry to entry, and every entry calls the hook ``instance_leaving``.
+Instances that the accepted lists name as drained leave as well; every entry has
+these from the configuration in force.
 An instance returns when no source says any more that it is leaving.
 """
 
@@ -27,9 +29,12 @@
 )
 from masticdeck.coordination.membership import Membership
 from masticdeck.events import Code
+from masticdeck.hookspec import hookimpl
 from masticdeck.ids import InstanceId
 from masticdeck.node import Node
+from masticdeck.state.lists import Configuration
 
+CONFIGURATION_SOURCE = "configuration"
 REPAIR_S = 5.0
 FIRST_REPAIR_S = 0.2
 
@@ -42,8 +47,19 @@
         self.membership = membership
         self.notes = DrainNotes()
         self.leaving: set[str] = set()
+        self.configured: set[str] = set()
         self.peers = DrainPeers(node, membership, self.notes, self.learn)
         self.tasks: list[asyncio.Task[None]] = []
+        node.hooks.register(self)
+
+    @hookimpl
+    def version_in_force(self, configuration: Configuration) -> None:
+        """Take in what the configuration in force names as drained."""
+        drained: set[str] = set(configuration.plans.drained)
+        changed = self.configured ^ drained
+        self.configured = drained
+        for name in sorted(changed):
+            self.update(name, CONFIGURATION_SOURCE)
 
     async def start(self) -> None:
         """Begin to watch every source."""
@@ -87,32 +103,31 @@
             self.node.clock.receive(note.stamp)
             if self.notes.merge(note):
                 new.append(note)
-                self.update(note)
+                self.update(note.name, note.source.value)
         return new
 
-    def update(self, note: DrainNote) -> None:
-        """Call the hook when a note changed whether something is leaving."""
-        leaving = self.notes.leaving(note.name)
-        if leaving == (note.name in self.leaving):
+    def update(self, name: str, source: str) -> None:
+        """Call the hook when a source changed whether something is leaving."""
+        leaving = self.notes.leaving(name) or name in self.configured
+        if leaving == (name in self.leaving):
             return
-        (self.leaving.add if leaving else self.leaving.discard)(note.name)
-        self.announce(note, leaving=leaving)
+        (self.leaving.add if leaving else self.leaving.discard)(name)
+        self.announce(name, source, leaving=leaving)
 
-    def announce(self, note: DrainNote, *, leaving: bool) -> None:
+    def announce(self, name: str, source: str, *, leaving: bool) -> None:
         """Tell the other components and the event log."""
         code = Code.DRAIN_SEEN if leaving else Code.DRAIN_ENDED
-        source = note.source.value
-        if note.name in self.node.deployment.instance_by_id:
-            instance = InstanceId(note.name)
+        if name in self.node.deployment.instance_by_id:
+            instance = InstanceId(name)
             self.node.events.emit(code, instance=instance, source=source)
             hook = self.node.hooks.hook
             if leaving:
                 hook.instance_leaving(instance=instance, source=source)
             else:
                 hook.instance_returned(instance=instance, source=source)
-        elif note.name in self.node.deployment.entry_by_id:
-            self.node.events.emit(code, entry=note.name, source=source)
-            if leaving and note.name == self.node.id:
+        elif name in self.node.deployment.entry_by_id:
+            self.node.events.emit(code, entry=name, source=source)
+            if leaving and name == self.node.id:
                 self.membership.leave()
 
     async def repair(self) -> None:
@@ -129,6 +144,7 @@
         said = [note for note in self.notes if note.leaving]
         return {
             "leaving": sorted(self.leaving),
+            "configuration": sorted(self.configured),
             "notes": [
                 {"name": note.name, "source": note.source.value} for note in said
             ],
--- /dev/null
+++ b/testing/coordination/test_drained_lists.py
@@ -0,0 +1,52 @@
+"""Instances that the accepted lists name as drained get no new work."""
+
+from __future__ import annotations
+
+from masticdeck.coordination.drain_notes import DrainNote, DrainSource
+from masticdeck.coordination.drains import Drains
+from masticdeck.coordination.membership import Membership
+from masticdeck.hookspec import hookimpl
+from masticdeck.ids import InstanceId, Version
+from masticdeck.state.lists import Lists, PlanList
+from testing.coordination.configuration_world import LISTS
+from testing.coordination.test_rollout import Entry, Network
+
+
+class Listener:
+    def __init__(self) -> None:
+        self.heard: list[tuple[str, str]] = []
+
+    @hookimpl
+    def instance_leaving(self, instance, source):
+        self.heard.append(("leaving", instance))
+
+    @hookimpl
+    def instance_returned(self, instance, source):
+        self.heard.append(("returned", instance))
+
+
+def drained(*names: str) -> Lists:
+    plans = tuple(InstanceId(name) for name in names)
+    return Lists(
+        customers=LISTS.customers,
+        plans=PlanList(plans=LISTS.plans.plans, drained=plans),
+    )
+
+
+async def test_drained_instances_leave_with_the_version_and_return_with_a_later():
+    entry = Entry(Network(count=1), "entry-1", watchers=1)
+    drains = Drains(entry.node, Membership(entry.node))
+    listener = Listener()
+    entry.node.hooks.register(listener)
+    entry.rollout.install(Version(1), drained("raksti-1", "raksti-2"), source="test")
+    assert drains.leaving == {"raksti-1", "raksti-2"}
+    drains.learn(
+        [DrainNote(name="raksti-2", source=DrainSource.PLATFORM, leaving=True, stamp=1)]
+    )
+    entry.rollout.install(Version(2), drained(), source="test")
+    assert drains.leaving == {"raksti-2"}
+    assert listener.heard == [
+        ("leaving", "raksti-1"),
+        ("leaving", "raksti-2"),
+        ("returned", "raksti-1"),
+    ]
