Compress the ledger and refuse one that the store cannot hold

Cause: watchers read the whole ledger at each step, and a ledger beyond the store's megabyte ended as an unknown outcome after thirty tries. Change: the value is JSON compressed by zlib, bounded when it is read; a ledger that is too long is refused with MD4018 before anything is written.

--- a/src/masticdeck/coordination/ledger.py
+++ b/src/masticdeck/coordination/ledger.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import random
+import zlib
 from collections.abc import Callable
 from typing import TypeVar
 
@@ -16,9 +17,10 @@
 
 from masticdeck.errors import StoreAnswerInvalid, StoreConflict, StoreUnavailable
 from masticdeck.ids import ProposalId, Revision, Version
-from masticdeck.protocol.store import ABSENT, Store
+from masticdeck.protocol.store import ABSENT, MAX_VALUE_BYTES, Store
 from masticdeck.state.acceptance import (
     Ledger,
+    LedgerFull,
     Settled,
     StoreBehind,
     WriteUnknown,
@@ -32,6 +34,7 @@
 HISTORY_PREFIX = "configuration/history/"
 ACCEPTED_PREFIX = "configuration/accepted/"
 MAX_ATTEMPTS = 30
+MAX_LEDGER_BYTES = 16 * MAX_VALUE_BYTES
 RETRY_S = 0.02
 READ_BACK_TRIES = 3
 
@@ -94,8 +97,9 @@
                 await self.archive(ledger, changed)
                 if guard is not None:
                     guard()
-                value = changed.model_dump_json().encode()
-                await self.store.put(LEDGER_KEY, value, expect=revision)
+                await self.store.put(
+                    LEDGER_KEY, encode_ledger(changed), expect=revision
+                )
                 return result
             except StoreConflict:
                 await asyncio.sleep(RETRY_S * self.random.random())
@@ -148,8 +152,7 @@
         for proposal in ledger.proposals:
             restored = restored.rebase(proposal, deployment)
         revision = ABSENT if item is None else item.revision
-        value = restored.model_dump_json().encode()
-        await self.store.put(LEDGER_KEY, value, expect=revision)
+        await self.store.put(LEDGER_KEY, encode_ledger(restored), expect=revision)
         return True
 
     async def put_once(self, key: str, value: bytes) -> None:
@@ -195,6 +198,24 @@
         raise StoreAnswerInvalid(detail) from None
 
 
+def encode_ledger(ledger: Ledger) -> bytes:
+    """Return the value of the store for a ledger: JSON, compressed by zlib.
+
+    Raises LedgerFull when it is longer than the store takes.
+    """
+    value = zlib.compress(ledger.model_dump_json().encode())
+    if len(value) > MAX_VALUE_BYTES:
+        raise LedgerFull(f"{len(value)} bytes, at most {MAX_VALUE_BYTES}")
+    return value
+
+
 def decode_ledger(value: bytes) -> Ledger:
-    """Return the ledger in a value of the store."""
-    return decode(Ledger, value)
+    """Return the ledger in a value of the store, or raise StoreAnswerInvalid."""
+    inflater = zlib.decompressobj()
+    try:
+        text = inflater.decompress(value, MAX_LEDGER_BYTES)
+    except zlib.error as error:
+        raise StoreAnswerInvalid(f"the ledger cannot be decoded: {error}") from None
+    if not inflater.eof:
+        raise StoreAnswerInvalid("the ledger is cut short or too long")
+    return decode(Ledger, text)
--- a/src/masticdeck/state/acceptance.py
+++ b/src/masticdeck/state/acceptance.py
@@ -115,6 +115,15 @@
     status = 429
 
 
+class LedgerFull(MasticdeckError):
+    """The ledger would be longer than the store's largest value."""
+
+    code = "MD4018"
+    title = "the lists and pending proposals are too long for the store"
+    remedy = "withdraw pending proposals or shorten the lists"
+    status = 413
+
+
 class WriteUnknown(MasticdeckError):
     """The store did not answer, and the write could not be read back."""
 
--- a/testing/coordination/test_acceptance.py
+++ b/testing/coordination/test_acceptance.py
@@ -5,17 +5,26 @@
 import asyncio
 import contextlib
 import copy
+import zlib
 
 import pytest
 
-from masticdeck.coordination.ledger import LEDGER_KEY
+from masticdeck.coordination import ledger as ledger_module
+from masticdeck.coordination.ledger import (
+    LEDGER_KEY,
+    MAX_LEDGER_BYTES,
+    decode_ledger,
+    encode_ledger,
+)
 from masticdeck.coordination.veto_window import RESTORE_AFTER_S, OwnerLapsed
-from masticdeck.errors import StoreConflict, StoreUnavailable
+from masticdeck.errors import StoreAnswerInvalid, StoreConflict, StoreUnavailable
 from masticdeck.ids import CustomerId, InstanceId, PlanId, ProposalId, Version
 from masticdeck.state import acceptance as acceptance_state
 from masticdeck.state.acceptance import (
     AcceptedAlready,
     BaseUnknown,
+    Ledger,
+    LedgerFull,
     NoLongerFits,
     ProposalState,
     ProposalVetoed,
@@ -343,3 +352,28 @@
             await first.turn()
         world.now += first.poll_s
     assert await world.acceptance.ledger() == before
+
+
+async def test_ledger_too_long_for_the_store_is_refused_and_not_written(
+    world, monkeypatch
+):
+    size = len(world.store.raw(LEDGER_KEY))
+    monkeypatch.setattr(ledger_module, "MAX_VALUE_BYTES", size)
+    with pytest.raises(LedgerFull, match="MD4018"):
+        await world.propose("cut", with_capacity("partner", 0.25))
+    assert not (await world.acceptance.ledger()).proposals
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"{}", encode_ledger(Ledger())[:-3], zlib.compress(b"[")],
+    ids=["empty", "not-compressed", "truncated", "not-json"],
+)
+def test_damaged_ledger_is_refused_with_a_code(value):
+    with pytest.raises(StoreAnswerInvalid, match="MD1003"):
+        decode_ledger(value)
+
+
+def test_ledger_that_inflates_beyond_its_bound_is_refused():
+    with pytest.raises(StoreAnswerInvalid):
+        decode_ledger(zlib.compress(b" " * (MAX_LEDGER_BYTES + 1)))
--- a/testing/coordination/test_rollout.py
+++ b/testing/coordination/test_rollout.py
@@ -14,7 +14,7 @@
 from masticdeck.config import Config
 from masticdeck.coordination import rollout as rollout_module
 from masticdeck.coordination.acceptance import Acceptance, Change
-from masticdeck.coordination.ledger import LEDGER_KEY
+from masticdeck.coordination.ledger import LEDGER_KEY, encode_ledger
 from masticdeck.coordination.rollout import (
     ConfigurationUnknown,
     Rollout,
@@ -136,7 +136,7 @@
         opened = ledger.replace(
             ledger.pending(name).model_copy(update={"window_over": True})
         )
-        await self.store.put(LEDGER_KEY, opened.model_dump_json().encode())
+        await self.store.put(LEDGER_KEY, encode_ledger(opened))
         await self.acceptance.accept(name, by="alice")
 
     async def all_reach(self, version: int) -> None:
