Step the steering table under a cap

Cause: look-ups followed no table; a plan that leaves a region moved all of its callers at once. Change: a table of 256 buckets for each service and origin; its owner steps it towards the goal that the accepted lists ask for, at most the cap in a window over the mixture of old and new tables, within what each region can bear, by compare-and-swap with read-back and the owner's token; every node follows at a pace of its own.

--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -25,8 +25,10 @@
 
     Times are in seconds unless the name says otherwise. ``policy`` names a
     registered policy; ``lookup_ttl_s`` is how long callers may keep an answer.
-    ``header_timeout_s`` bounds the arrival of a request's head, ``answer_stall_s``
-    the pauses in a large answer.
+    At most ``shift_cap`` of an origin's callers change region in any
+    ``shift_window_s``; entries that do not follow are waited for up to
+    ``shift_lag_limit_s``. ``header_timeout_s`` bounds the arrival of a request's
+    head, ``answer_stall_s`` the pauses in a large answer.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -40,6 +42,9 @@
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
     slots: Annotated[str, Field(pattern="^(static|shares)$")] = "shares"
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
+    shift_cap: Annotated[float, Field(gt=0, le=1)] = 0.1
+    shift_window_s: Annotated[float, Field(gt=0)] = 10.0
+    shift_lag_limit_s: Annotated[float, Field(gt=0)] = 60.0
     keep_alive_s: Annotated[float, Field(gt=0)] = 75.0
     header_timeout_s: Annotated[float, Field(gt=0)] = 10.0
     answer_stall_s: Annotated[float, Field(gt=0)] = 2.0
--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -16,10 +16,12 @@
 from masticdeck.coordination.orders import Orders
 from masticdeck.coordination.policy import policies
 from masticdeck.coordination.shares import Shares
+from masticdeck.coordination.shifts import Shifts
 from masticdeck.coordination.slots import SlotSource, StaticSlots
 from masticdeck.entry.configuration import build_configuration
 from masticdeck.entry.forward import Forwarder
 from masticdeck.entry.inspection import Inspection
+from masticdeck.entry.load_reader import LoadReader
 from masticdeck.entry.lookup import Lookup
 from masticdeck.entry.order_forward import OrderForwarder
 from masticdeck.entry.server import EntryServer
@@ -78,9 +80,15 @@
     services: list[IServable] = [OrderService(orders), membership.links, shares]
     services.append(drains.peers)
     services.append(configuration.service)
+    lookup = Lookup(node, home=orders)
+    load = LoadReader(lookup, metrics)
+    shifts = Shifts(
+        node, membership, use_table=lookup.use_steering, read_load=load.read
+    )
+    services.append(shifts)
     server = EntryServer(
         node,
-        Lookup(node, home=orders),
+        lookup,
         forwarder,
         Inspection(node, metrics),
         configuration.api,
@@ -99,6 +107,7 @@
         PeerServer(node.entry.host, node.entry.peer_port, services, stamps=stamps),
         membership,
         shares,
+        shifts,
         *configuration.components,
         drains,
         backends,
--- a/src/masticdeck/entry/lookup.py
+++ b/src/masticdeck/entry/lookup.py
@@ -12,6 +12,7 @@
 from __future__ import annotations
 
 import json
+from collections import Counter
 from collections.abc import Sequence
 from pathlib import Path
 from typing import Any, Protocol
@@ -28,7 +29,7 @@
 from masticdeck.state.block_pieces import Site, read_block_file
 from masticdeck.state.blocks import AddressInvalid, BlockTable, parse_address
 from masticdeck.state.deployment import EntryNode
-from masticdeck.state.steering import SteeringTable, bucket_of
+from masticdeck.state.steering import Route, SteeringTable, bucket_of
 
 MAX_QUERY_BYTES = 1024
 MAX_ANSWERS = 20_000
@@ -60,6 +61,7 @@
         self.gone: set[EntryId] = set()
         self.answers: dict[tuple[str, ZoneId, RegionId, int], bytes] = {}
         self.home_token: str | None = None
+        self.asked: Counter[Route] = Counter()
         self.services = frozenset(service.id for service in node.deployment.services)
         self.region_of = node.deployment.region_of
         if node.config.blocks is not None:
@@ -79,6 +81,11 @@
                 raise RequestInvalid(f"zone {zone!r} of the block table is unknown")
         self.blocks = table
 
+    def take_asked(self) -> Counter[Route]:
+        """Return the look-ups by service and origin since the last call."""
+        asked, self.asked = self.asked, Counter()
+        return asked
+
     def use_steering(self, table: SteeringTable) -> None:
         """Take a new steering table into use."""
         self.steering = table
@@ -134,6 +141,7 @@
         zone = self.zone_of(family, address)
         bucket = bucket_of(family, address)
         region = self.region_of[zone]
+        self.asked[service, region] += 1
         if self.steering is not None:
             region = self.steering.target(service, region, bucket)
         if self.home is not None:
