--- a/src/masticdeck/config.py
+++ b/src/masticdeck/config.py
@@ -42,7 +42,7 @@
     lease_ttl_s: Annotated[float, Field(gt=0)] = 3.0
     slots: Annotated[str, Field(pattern="^(static|shares)$")] = "shares"
     share_ttl_s: Annotated[float, Field(gt=0)] = 10.0
-    shift_cap: Annotated[float, Field(gt=0, le=1)] = 0.1
+    shift_cap: Annotated[float, Field(ge=0.01, le=1)] = 0.1
     shift_window_s: Annotated[float, Field(gt=0)] = 10.0
     shift_lag_limit_s: Annotated[float, Field(gt=0)] = 60.0
     keep_alive_s: Annotated[float, Field(gt=0)] = 75.0
