Let a shed answer lower the limit below what is in use

Cause: a limit that starts at the instance's slots is far above the one or two requests that an entry has in use there, so it binds only after several sheds. Also leaves trials of ejected instances to work that can wait (not yet measured).

--- a/src/masticdeck/coordination/health.py
+++ b/src/masticdeck/coordination/health.py
@@ -21,6 +21,7 @@
 MOST_EJECTED = 0.34
 EJECTION_S = 1.0
 MOST_EJECTION_S = 8.0
+URGENT_TRIAL_S = 5.0
 
 
 @final
@@ -58,12 +59,20 @@
         for state in self.by_instance.values():
             self.of_service[state.service].append(state)
 
-    def allows(self, instance: InstanceId, used: int, now: float) -> bool:
-        """Return whether the instance may get a request."""
+    def allows(
+        self, instance: InstanceId, used: int, now: float, *, urgent: bool = False
+    ) -> bool:
+        """Return whether the instance may get a request.
+
+        Trials are left to work that can wait; urgent work makes one only when
+        none was made for a while.
+        """
         state = self.by_instance[instance]
         if now < state.until:
             return False
-        return not state.trial or used == 0
+        if not state.trial:
+            return True
+        return used == 0 and not (urgent and now < state.until + URGENT_TRIAL_S)
 
     def succeeded(self, instance: InstanceId) -> bool:
         """Note an answer; return whether it ended the instance's trial."""
--- a/src/masticdeck/coordination/limits.py
+++ b/src/masticdeck/coordination/limits.py
@@ -132,10 +132,10 @@
         state.updated = now
 
     def shed(self, instance: InstanceId, now: float) -> None:
-        """Lower the limit and pause the instance for a random time."""
+        """Lower the limit below what is in use and pause for a random time."""
         state = self.by_instance[instance]
         state.sheds += 1
-        state.limit = max(MIN_LIMIT, state.limit * SHED_FACTOR)
+        state.limit = max(MIN_LIMIT, min(state.limit, state.used) * SHED_FACTOR)
         pause = state.usual_s * 2 ** (min(state.sheds, 4) - 1)
         until = now + min(pause, MAX_PAUSE_S) * self.random.uniform(0.5, 1.5)
         state.paused_until = max(state.paused_until, until)
--- a/src/masticdeck/coordination/routing.py
+++ b/src/masticdeck/coordination/routing.py
@@ -62,7 +62,7 @@
         least = float("inf")
         for instance in free:
             state = self.limits.by_instance[instance]
-            if not self.usable(instance, state, now):
+            if not self.usable(instance, state, call, now):
                 continue
             score = self.score(instance, state, call, remaining, now)
             if avoid and self.other_zone[instance] in zones:
@@ -88,13 +88,14 @@
             for other in self.limits.of_service(call.service)
         )
 
-    def usable(self, instance: InstanceId, state: InstanceLimit, now: float) -> bool:
+    def usable(
+        self, instance: InstanceId, state: InstanceLimit, call: Call, now: float
+    ) -> bool:
         """Return whether the instance may get a request at all."""
-        return (
-            state.allows(now)
-            and instance not in self.leaving
-            and self.health.allows(instance, state.used, now)
-        )
+        if not state.allows(now) or instance in self.leaving:
+            return False
+        urgent = call.rank is Rank.URGENT
+        return self.health.allows(instance, state.used, now, urgent=urgent)
 
     def score(
         self,
--- a/testing/coordination/test_limits.py
+++ b/testing/coordination/test_limits.py
@@ -127,3 +127,20 @@
     for _ in range(failures):
         health.failed(ones[0].id, 0.0, unreachable=False)
     assert health.allows(ones[0].id, 0, 0.1) is not ejected
+
+
+def test_urgent_work_leaves_trials_to_work_that_can_wait():
+    one = instances()[0].id
+    health = Health(instances(), seed=1)
+    health.failed(one, 0.0, unreachable=True)
+    assert health.allows(one, 0, 2.0)
+    assert not health.allows(one, 0, 2.0, urgent=True)
+    assert health.allows(one, 0, 20.0, urgent=True)
+
+
+def test_shed_answer_lowers_the_limit_below_what_is_in_use():
+    found = limits()
+    one = instances()[0].id
+    found.taken(one)
+    found.shed(one, 0.0)
+    assert found.by_instance[one].limit < 1.0
