Show for each promise that its test fails without the mechanism

Cause: a test that cannot fail proves nothing. The test of the planned stop used requests of 1.5 s, which end during the announcement of 2.5 s, so that it never saw the wait for requests in flight; a request of 6 s does. Conclusion: one weak test found and joined by a stricter one.

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 EXPERIMENT ?= path
 DEPLOYMENT ?= riga
 
-.PHONY: setup check format test demo bench generate model model-mutants fuzz capacity shares-of-code
+.PHONY: setup check format test demo bench generate model model-mutants fuzz mutants capacity shares-of-code
 
 setup: $(STAMP)
 
@@ -47,5 +47,8 @@
 fuzz: setup
 	$(PY) scripts/run_fuzz.py
 
+mutants: setup
+	$(PY) scripts/run_mutants.py
+
 capacity: setup
 	$(PY) scripts/capacity.py
--- a/testing/coordination/test_leaving.py
+++ b/testing/coordination/test_leaving.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 
-from aiohttp import ClientError
+from aiohttp import ClientError, ClientTimeout
 
 from bench.fleet import STOP_TIMEOUT_S, Fleet
 
@@ -48,6 +48,30 @@
         assert await signalled(fleet, "entry-1") == 0
 
 
+async def test_request_that_outlasts_the_announcement_is_finished_too():
+    settings = QUICK | {"stop_grace_s": 15.0}
+    slow = {"katalogs": 6000.0}
+    async with Fleet("riga", entries=2, service_ms=slow, settings=settings) as fleet:
+        url = f"{fleet.entry_url('entry-1')}/service/katalogs/x"
+        fields = {"Masticdeck-Timeout-Ms": "12000"}
+        timeout = ClientTimeout(total=20)
+
+        async def ask() -> int:
+            async with fleet.session.get(
+                url, headers=fields, timeout=timeout
+            ) as response:
+                return response.status
+
+        asked = asyncio.create_task(ask())
+        while not any(
+            one["in_flight"] for one in (await fleet.instance_stats()).values()
+        ):
+            await asyncio.sleep(0.02)
+        fleet.processes["entry-1"].terminate()
+        assert await asked == 200
+        assert await signalled(fleet, "entry-1") == 0
+
+
 async def test_leaving_entry_is_left_out_of_lookups_elsewhere_while_it_serves():
     settings = QUICK | {"lookup_ttl_s": 4.0}
     async with Fleet("riga", entries=3, settings=settings) as fleet:
