Tell in events when the store begins and ceases to answer

Cause: the events for a store outage had numbers but were never emitted, so that the time line did not show outages.

--- a/src/masticdeck/entry/app.py
+++ b/src/masticdeck/entry/app.py
@@ -49,7 +49,7 @@
         raise SettingsInvalid(f"entry {config.entry!r} is not in {config.deployment}")
     clock = HybridClock()
     events = EventLog(config.entry, clock)
-    store = HttpStore(deployment.platform.url)
+    store = HttpStore(deployment.platform.url, events=events)
     vms = HttpVmList(deployment.platform.url)
     stamps = StampExchange(clock)
     tls = None
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -9,13 +9,20 @@
 
 import base64
 import json
+import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any, NewType, Protocol, final
 
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
-from masticdeck.errors import StoreAnswerInvalid, StoreConflict, StoreUnavailable
+from masticdeck.errors import (
+    MasticdeckError,
+    StoreAnswerInvalid,
+    StoreConflict,
+    StoreUnavailable,
+)
+from masticdeck.events import Code, EventLog
 from masticdeck.ids import Revision
 
 LeaseId = NewType("LeaseId", str)
@@ -107,11 +114,22 @@
 
 
 class HttpStore:
-    """The store over HTTP with JSON bodies."""
+    """The store over HTTP with JSON bodies.
 
-    def __init__(self, url: str, *, timeout_s: float = CALL_TIMEOUT_S) -> None:
+    With ``events``, the beginning and the end of an outage are events.
+    """
+
+    def __init__(
+        self,
+        url: str,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+        events: EventLog | None = None,
+    ) -> None:
         self.url = url
         self.timeout_s = timeout_s
+        self.events = events
+        self.available = True
         self.session: ClientSession | None = None
 
     async def start(self) -> None:
@@ -174,18 +192,43 @@
         self, method: str, body: Mapping[str, Any], *, timeout_s: float | None = None
     ) -> Any:
         """Send one call and return the decoded answer."""
+        try:
+            status, text = await self.send(method, body, timeout_s or self.timeout_s)
+            answer = decode_answer(method, status, text)
+        except StoreUnavailable as error:
+            self.note(available=False, detail=error.detail)
+            raise
+        except MasticdeckError:
+            self.note(available=True)
+            raise
+        self.note(available=True)
+        return answer
+
+    async def send(
+        self, method: str, body: Mapping[str, Any], timeout_s: float
+    ) -> tuple[int, str]:
+        """Send one call and return the status and the text of its answer."""
         if self.session is None:
             raise StoreUnavailable("the store client is not started")
-        timeout = ClientTimeout(total=timeout_s or self.timeout_s)
+        url = f"{self.url}/v1/{method}"
+        timeout = ClientTimeout(total=timeout_s)
         try:
-            async with self.session.post(
-                f"{self.url}/v1/{method}", json=body, timeout=timeout
-            ) as response:
-                text = await response.text()
-                status = response.status
+            async with self.session.post(url, json=body, timeout=timeout) as response:
+                return response.status, await response.text()
         except (TimeoutError, ClientError, OSError, UnicodeDecodeError) as error:
             raise StoreUnavailable(f"{method}: {type(error).__name__}") from error
-        return decode_answer(method, status, text)
+
+    def note(self, *, available: bool, detail: str = "") -> None:
+        """Emit an event when the store begins or ceases to answer."""
+        if available is self.available or self.events is None:
+            return
+        self.available = available
+        if available:
+            self.events.emit(Code.STORE_AVAILABLE)
+        else:
+            self.events.emit(
+                Code.STORE_UNAVAILABLE, level=logging.WARNING, error=detail
+            )
 
 
 def decode_answer(method: str, status: int, text: str) -> Any:
