Take the platform's word on a leaving instance back after five reads only

Cause: two watchers whose lists differ made an instance leave and return by turns. Change: a name must be missing from five reads in a row.

--- a/src/masticdeck/coordination/drains.py
+++ b/src/masticdeck/coordination/drains.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import random
+from collections import Counter
 from collections.abc import Iterable
 from typing import Any
 
@@ -32,6 +33,7 @@
 
 REPAIR_S = 5.0
 FIRST_REPAIR_S = 0.2
+READS_TO_RETURN = {DrainSource.OPERATOR: 1, DrainSource.PLATFORM: 5}
 
 
 class Drains:
@@ -42,6 +44,7 @@
         self.membership = membership
         self.notes = DrainNotes()
         self.leaving: set[str] = set()
+        self.absent: Counter[tuple[str, DrainSource]] = Counter()
         self.peers = DrainPeers(node, membership, self.notes, self.learn)
         self.tasks: list[asyncio.Task[None]] = []
 
@@ -76,9 +79,19 @@
         self.peers.spread(self.learn([note]))
 
     def observe_all(self, names: set[str], source: DrainSource) -> None:
-        """Take note of everything that a source says is leaving now."""
-        for name in sorted(names | names_said(self.notes, source)):
-            self.observe(name, source, name in names)
+        """Take note of everything that a source says is leaving now.
+
+        The platform's list lags and differs from read to read, so its word is
+        taken back only after several reads in a row without the name.
+        """
+        for name in names:
+            self.absent.pop((name, source), None)
+            self.observe(name, source, True)
+        for name in names_said(self.notes, source) - names:
+            self.absent[name, source] += 1
+            if self.absent[name, source] >= READS_TO_RETURN[source]:
+                del self.absent[name, source]
+                self.observe(name, source, False)
 
     def learn(self, notes: Iterable[DrainNote]) -> list[DrainNote]:
         """Take notes in, call the hooks, and return those that were new."""
--- a/testing/coordination/test_drains.py
+++ b/testing/coordination/test_drains.py
@@ -106,6 +106,24 @@
     assert not notes.leaving("x")
 
 
+class Nobody:
+    """A membership without other entries."""
+
+    def alive(self) -> list[str]:
+        return []
+
+
+def test_lagging_platform_list_does_not_make_an_instance_return():
+    drains = Drains(Network(entries=2).entries[HOME].node, cast(Any, Nobody()))
+    for _ in range(3):
+        drains.observe_all({"katalogs-1"}, DrainSource.PLATFORM)
+        for _ in range(4):
+            drains.observe_all(set(), DrainSource.PLATFORM)
+            assert drains.leaving == {"katalogs-1"}
+    drains.observe_all(set(), DrainSource.PLATFORM)
+    assert not drains.leaving
+
+
 async def test_news_goes_to_the_own_zone_and_to_one_entry_of_each_other_zone():
     node = Network(entries=9).entries[HOME].node
     entries = [one.id for one in node.deployment.entries]
