--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -119,7 +119,7 @@
     changes_s = CHANGES_DAY / DAY_S
     change_bytes = max(point["change_bytes"] for point in control["points"])
     events_day = FAILURES_DAY * 2 + RESTARTS_DAY * 3
-    rows = [
+    return [
         ["changes of the lists/s", f"{changes_s:.4f}", "5,400 a day"],
         ["bytes of a change on a node", f"{change_bytes:,.0f}", "largest measured"],
         ["bytes/s for changes", f"{change_bytes * changes_s:.0f}", "on each node"],
@@ -130,7 +130,6 @@
         ],
         ["membership claims/s", f"{events_day / DAY_S:.4f}", "failures and restarts"],
     ]
-    return rows
 
 
 def render() -> str:
