--- a/testing/coordination/test_ranked.py
+++ b/testing/coordination/test_ranked.py
@@ -151,8 +151,9 @@
     one, error, allowed
 ):
     policy = create({"katalogs-1": 1})
-    assert policy.may_retry(call(**{"wait_s": 60} | one), error, 1) is allowed
-    assert not policy.may_retry(one, error, 2)
+    made = call(**{"wait_s": 60} | one)
+    assert policy.may_retry(made, error, 1) is allowed
+    assert not policy.may_retry(made, error, 2)
 
 
 def test_retries_stay_within_the_budget_when_everything_fails():
