--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -47,7 +47,12 @@
 def table(head: list[str], rows: list[list[Any]]) -> str:
     """Return a Markdown table."""
     lines = [head, ["---"] * len(head), *rows]
-    return "\n".join(f"| {' | '.join(str(one) for one in row)} |" for row in lines)
+    return "\n".join(f"| {' | '.join(show(one) for one in row)} |" for row in lines)
+
+
+def show(value: Any) -> str:
+    """Return a cell's text; numbers keep four significant digits."""
+    return f"{value:,.4g}" if isinstance(value, float) else str(value)
 
 
 def judge(value: float, limit: float) -> str:
@@ -73,6 +78,13 @@
     return table(names, [[point[one] for one in names] for point in owner["points"]])
 
 
+def zone_points(control: dict[str, Any]) -> str:
+    """Return the measured points over zones and entries in a zone."""
+    names = ["nodes", "per_zone", "zones", "bytes_s", "core_part", "busiest_bytes_s"]
+    names += ["change_bytes", "change_cpu_ms", "memory_mb", "store_watches"]
+    return table(names, [[point[one] for one in names] for point in control["points"]])
+
+
 def control_rows(owner: dict[str, Any], control: dict[str, Any]) -> list[list[Any]]:
     """Return the rows of the targets for control."""
     planned = owner["planned"]
@@ -84,10 +96,20 @@
     mean_core = planned["core_mean"] + change_core * changes_s
     owner_core = planned["core_owner"] + change_core * changes_s
     cases = [
-        ("bytes/s, mean node", mean_bytes, BYTES_LIMIT),
+        ("bytes/s, mean node, line over holders", mean_bytes, BYTES_LIMIT),
         ("bytes/s, owner of a region", owner_bytes, BYTES_LIMIT),
-        ("core, mean node", mean_core, CORE_LIMIT),
+        ("core, mean node, line over holders", mean_core, CORE_LIMIT),
         ("core, owner of a region", owner_core, CORE_LIMIT),
+        (
+            "bytes/s, mean node, line over zones",
+            control["planned"]["bytes_s"],
+            BYTES_LIMIT,
+        ),
+        (
+            "core, mean node, line over zones",
+            control["planned"]["core_part"],
+            CORE_LIMIT,
+        ),
         ("memory in MB without blocks", planned["memory_mb"], MEMORY_LIMIT_MB),
         ("store writes/s, fleet", planned["store_writes_s"], STORE_WRITES_LIMIT),
         ("store reads/s, fleet", planned["store_reads_s"], STORE_READS_LIMIT),
@@ -146,6 +168,8 @@
         f"{planned['core_per_holder']:.5f} of a core for each holder that reports "
         f"once a second; {planned['region_entries']} holders in a region report "
         f"each {planned['report_s']:.1f} s.",
+        "\n### Measured points over zones, for a node\n",
+        zone_points(control),
         "\n### Control at 1,900 nodes\n",
         table(
             ["figure", "worked out", "target", "verdict"], control_rows(owner, control)
--- a/testing/programs/test_runtime.py
+++ b/testing/programs/test_runtime.py
@@ -5,6 +5,7 @@
 import asyncio
 import json
 import signal
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -61,3 +62,52 @@
         rows = [json.loads(row) for row in fleet.log("entry-1").splitlines()]
         numbers = {row["@fields"].get("event") for row in rows}
         assert 500 in numbers
+
+
+@pytest.mark.parametrize(
+    ("module", "arguments"),
+    [
+        ("timeline", ("--follow",)),
+        ("ctl", ("watch",)),
+        ("load", ("run",)),
+    ],
+    ids=["timeline", "ctl", "load"],
+)
+async def test_program_opens_no_io_uring_descriptor(
+    module: str, arguments: tuple[str, ...]
+):
+    async with Fleet("riga", entries=1, backends=False) as fleet:
+        options = [f"--deployment={fleet.deployment_path}"]
+        if module == "load":
+            options = [str(write_experiment(fleet)), f"--out={fleet.folder / 'out'}"]
+        name = f"masticdeck.programs.{module}"
+        await fleet.spawn(module, name, *arguments, *options)
+        process = fleet.processes[module]
+        async with asyncio.timeout(20):
+            while not any("eventpoll" in one for one in descriptors(process.pid)):
+                assert process.returncode is None, fleet.log(module)
+                await asyncio.sleep(0.01)
+        assert not any("io_uring" in one for one in descriptors(process.pid))
+
+
+def write_experiment(fleet: Fleet) -> Path:
+    """Write an experiment of one request a second."""
+    stream = {"name": "a", "service": "katalogs", "rank": "low", "rate": 1}
+    experiment = {
+        "name": "idle",
+        "duration_s": 30,
+        "deployment": str(fleet.deployment_path),
+        "streams": [stream | {"wait_ms": 100}],
+    }
+    path = fleet.folder / "experiment.json"
+    path.write_text(json.dumps(experiment), encoding="utf-8")
+    return path
+
+
+def descriptors(pid: int) -> list[str]:
+    """Return what the open descriptors of a process stand for."""
+    names = []
+    for path in Path(f"/proc/{pid}/fd").iterdir():
+        with suppress(FileNotFoundError):
+            names.append(str(path.readlink()))
+    return names
