Name the request in every answer; give like answers like lengths

Cause: a caller could not find its request in the time line, since only the backend server saw its id. The HEAD test failed by one byte now and then, because the stand-in's answer held times printed at varying width. Change: Masticdeck-Request in answers and errors; times of fixed width in the stand-in.

--- a/bench/experiments/shares.py
+++ b/bench/experiments/shares.py
@@ -106,7 +106,7 @@
                 body = json.loads(await response.read())
             if one.status == 200:
                 one.instance = body["instance"]
-                one.began, one.ended = body["began"], body["ended"]
+                one.began, one.ended = float(body["began"]), float(body["ended"])
         except (ClientError, OSError, TimeoutError):
             one.status = 0
         one.failed_at = time.time()
--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -145,8 +145,9 @@
             "nonce": request.headers.get("Nonce", ""),
             "digest": ANSWER_DIGEST(body).hexdigest(),
             "instance": self.id,
-            "began": began,
-            "ended": time.time(),
+            # Of one width, so that like answers have like lengths.
+            "began": f"{began:.6f}",
+            "ended": f"{time.time():.6f}",
         }
         return web.Response(
             body=json.dumps(document).encode(),
--- a/src/masticdeck/entry/delivery.py
+++ b/src/masticdeck/entry/delivery.py
@@ -19,6 +19,7 @@
 from masticdeck.ids import InstanceId, Version
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken
+from masticdeck.protocol.call import Call
 
 SMALL_ANSWER_BYTES = 65_536
 BODILESS = frozenset({204, 304})
@@ -32,9 +33,15 @@
     """
 
     def __init__(
-        self, request: web.BaseRequest, policy: Policy, *, stall_s: float
+        self,
+        request: web.BaseRequest,
+        call: Call,
+        policy: Policy,
+        *,
+        stall_s: float,
     ) -> None:
         self.request = request
+        self.call = call
         self.policy = policy
         self.stall_s = stall_s
         self.bounded = headers.TIMEOUT_MS in request.headers
@@ -75,6 +82,7 @@
             self.check_rest(answer, slot.instance)
             return await self.copy(answer, self.response, slot)
         fields = answer_fields(answer, slot.instance, version)
+        fields[headers.REQUEST_ID] = self.call.id
         echo = self.request.headers.get(headers.ECHO)
         if echo is not None:
             fields[headers.ECHO] = echo
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -86,17 +86,21 @@
             if is_order(call):
                 fields = forward_fields(request, call)
                 response = await self.orders.handle(request, call, fields)
-                return self.mark(request, response)
+                return self.mark(request, response, call)
             return await self.attempt(request, call)
         except MasticdeckError as error:
             self.note_error(call, error)
-            return self.mark(request, error_response(error))
+            return self.mark(request, error_response(error), call)
         finally:
             self.in_flight -= 1
 
-    def mark(self, request: web.BaseRequest, response: web.Response) -> web.Response:
-        """Name the version, and repeat the caller's mark, in an answer."""
+    def mark(
+        self, request: web.BaseRequest, response: web.Response, call: Call | None
+    ) -> web.Response:
+        """Name version and request, and repeat the caller's mark, in an answer."""
         response.headers[headers.VERSION] = str(self.rollout.version)
+        if call is not None:
+            response.headers[headers.REQUEST_ID] = call.id
         echo = request.headers.get(headers.ECHO)
         if echo is not None:
             response.headers[headers.ECHO] = echo
@@ -143,7 +147,7 @@
     async def attempt(self, request: web.BaseRequest, call: Call) -> web.StreamResponse:
         """Try instances until one answers or no further try is allowed."""
         delivery = Delivery(
-            request, self.policy, stall_s=self.node.config.answer_stall_s
+            request, call, self.policy, stall_s=self.node.config.answer_stall_s
         )
         tried: frozenset[InstanceId] = frozenset()
         attempts = 0
--- a/testing/test_path.py
+++ b/testing/test_path.py
@@ -22,6 +22,9 @@
             body = await response.json(content_type=None)
         assert response.status == 200
         assert (body["path"], body["nonce"]) == ("/spoons?page=2", "n-1")
+        feed = f"{entry}/-/events"
+        async with fleet.session.get(feed) as events:
+            assert response.headers["Masticdeck-Request"] in await events.text()
 
 
 async def test_planned_stop_of_an_entry_exits_with_zero():
