Record bench figures in one place only

Cause: two experiments wrote their results by themselves beside what RECORD=1 writes, under other names, so that a recorded run left two files and the capacity page read the one that the page's own command does not name. Change: only the runner records; the capacity page reads its files. The two benches were not run again.

--- a/bench/experiments/control_cost.py
+++ b/bench/experiments/control_cost.py
@@ -24,10 +24,9 @@
 from aiohttp import ClientError, ClientSession
 
 from bench.experiments import registry
-from bench.fleet import ROOT, Fleet, free_ports, loopback_address
+from bench.fleet import Fleet, free_ports, loopback_address
 from masticdeck.protocol.identity import hash_token
 
-RESULTS = ROOT / "bench" / "results" / "control-cost.json"
 SHAPES = ((2, 3), (4, 3), (8, 3), (2, 6), (2, 12))
 ZONES_PER_REGION = 3
 SETTLE_S = 5.0
@@ -319,7 +318,4 @@
                 for fleet, shape in zip(started, SHAPES, strict=True)
             )
         )
-    result = summarise(list(points))
-    RESULTS.parent.mkdir(parents=True, exist_ok=True)
-    RESULTS.write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
-    return result
+    return summarise(list(points))
--- a/bench/experiments/owner_cost.py
+++ b/bench/experiments/owner_cost.py
@@ -21,7 +21,7 @@
 import psutil
 
 from bench.experiments import registry
-from bench.fleet import ROOT, Fleet, free_ports, place
+from bench.fleet import Fleet, free_ports, place
 from masticdeck.coordination.share_session import report_interval_s
 from masticdeck.protocol.store import HttpStore
 
@@ -33,7 +33,6 @@
 BYTES_LIMIT = 3000
 CORE_LIMIT = 0.035
 MEMORY_LIMIT_MB = 256
-RESULTS = ROOT / "bench" / "results" / "owner-cost.json"
 HEADER_BYTES = 52
 WRITES = ("put", "delete", "lease/grant", "lease/renew", "lease/revoke")
 COUNTERS = re.compile(r"(bytes_sent|bytes_received|segs_out|segs_in):(\d+)")
@@ -210,7 +209,7 @@
     regions = len({zone["region"] for zone in placed["zones"]})
     names = [name for name, value in points[0].items() if isinstance(value, float)]
     slopes = {name: round(line(points, "entries", name)[0], 5) for name in names}
-    result = {
+    return {
         "experiment": "owner-cost",
         "deployment": deployment,
         "points": points,
@@ -223,6 +222,3 @@
         },
         "wire": "TCP without TLS, IP and TCP headers counted as 52 bytes a segment",
     }
-    RESULTS.parent.mkdir(parents=True, exist_ok=True)
-    RESULTS.write_text(json.dumps(result, indent=1) + "\n", encoding="utf-8")
-    return result
--- a/scripts/capacity.py
+++ b/scripts/capacity.py
@@ -156,7 +156,7 @@
 
 def render() -> str:
     """Return all tables."""
-    owner, control = read("owner-cost"), read("control-cost")
+    owner, control = read("owner-cost-riga"), read("control-cost-riga")
     path, config = read("path-riga"), read("config-texas")
     planned = owner["planned"]
     parts = [
