--- /dev/null
+++ b/deploy/run.py
@@ -0,0 +1,12 @@
+"""Starts ``masticdeck-gateway`` from a checkout that is not installed."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
+
+from masticdeck.programs.gateway import main  # noqa: E402
+
+main()
--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -8,7 +8,17 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 SOURCE = ROOT / "src"
-LAYERS = ("state", "transport", "protocol", "coordination", "entry", "load", "programs")
+LAYERS = (
+    "state",
+    "transport",
+    "protocol",
+    "coordination",
+    "entry",
+    "gateway",
+    "platform",
+    "load",
+    "programs",
+)
 TREES = ("src", "testing", "bench", "scripts")
 TOP_MODULES = frozenset({"client"})
 
--- /dev/null
+++ b/src/masticdeck/coordination/feed.py
@@ -0,0 +1,232 @@
+"""Keeps this process's copy of the platform's records up to date.
+
+One listing and one watch over all keys serve everything, so that the number of
+calls does not grow with what is watched. Each record has a revision; a late or
+repeated change never replaces a newer one. Another entry's copy serves when
+the store turns this entry away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections import deque
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Protocol, final
+
+from masticdeck.clock import boottime
+from masticdeck.errors import MasticdeckError, StoreHistoryLost
+from masticdeck.events import Code, EventLog
+from masticdeck.ids import Revision
+from masticdeck.protocol.store import Change, KeyValue, Store
+
+WATCH_WAIT_S = 2.0
+"""Longest wait of a watch; a silent connection shows after this and a timeout."""
+
+PACE_S = 0.4
+"""Least seconds between two answers of a watch, so that changes are batched."""
+
+RETRY_S = 0.3
+"""Seconds between attempts while the store does not answer."""
+
+OUTAGE_S = 2.5
+"""Time without contact after which records may have lapsed meanwhile."""
+
+KEPT_CHANGES = 2_000
+"""Latest changes kept for other entries, before they need a full copy."""
+
+
+class FeedListener(Protocol):
+    """What is told of records."""
+
+    def record_changed(self, key: str, value: bytes | None, *, lapsed: bool) -> None:
+        """Take a new value, None for a deleted key.
+
+        ``lapsed`` tells that the deletion may come from the store's absence.
+        """
+
+    def contact_restored(self, now: float) -> None:
+        """Learn that the records are current again after an outage."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class FeedPart:
+    """Records for another entry: all of them, or the changes it lacks.
+
+    ``age_s`` is how long ago the sender last heard from the store.
+    """
+
+    whole: bool
+    changes: tuple[Change, ...]
+    revision: Revision
+    age_s: float
+
+
+class RecordCopy:
+    """A copy of the platform's records by key, each at its newest revision."""
+
+    def __init__(self, listener: FeedListener) -> None:
+        self.listener = listener
+        self.items: dict[str, KeyValue] = {}
+        self.deleted: dict[str, Revision] = {}
+        self.revision = Revision(0)
+        self.recent: deque[Change] = deque(maxlen=KEPT_CHANGES)
+        self.recent_from = Revision(0)
+        self.confirmed_at = float("-inf")
+        self.restored_at = float("-inf")
+
+    def age_s(self, now: float) -> float:
+        """Return the seconds since the copy was last known to be current."""
+        return now - self.confirmed_at
+
+    def confirm(self, at: float, now: float) -> None:
+        """Note that the copy was current at boot time ``at``."""
+        if at <= self.confirmed_at:
+            return
+        if now - self.confirmed_at > OUTAGE_S:
+            self.restored_at = now
+            self.listener.contact_restored(now)
+        self.confirmed_at = at
+
+    def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
+        """Take a full listing that was current at ``revision``."""
+        listed = {item.key: item for item in items}
+        missing = [
+            key
+            for key, item in self.items.items()
+            if key not in listed and item.revision <= revision
+        ]
+        for key in missing:
+            self.apply(Change(key, None, revision))
+        for item in listed.values():
+            self.apply(Change(item.key, item.value, item.revision))
+        self.revision = max(self.revision, revision)
+        self.recent.clear()
+        self.recent_from = self.revision
+
+    def extend(self, changes: Iterable[Change], revision: Revision) -> None:
+        """Take the changes up to ``revision``."""
+        for change in changes:
+            self.apply(change)
+        self.revision = max(self.revision, revision)
+
+    def apply(self, change: Change) -> None:
+        """Take one change unless a newer one of its key is known."""
+        known = self.items.get(change.key)
+        seen = self.deleted.get(change.key, Revision(0))
+        seen = seen if known is None else known.revision
+        if change.revision <= seen:
+            return
+        if len(self.recent) == self.recent.maxlen:
+            self.recent_from = self.recent[0].revision
+        self.recent.append(change)
+        if change.value is None:
+            self.deleted[change.key] = change.revision
+            if self.items.pop(change.key, None) is None:
+                return
+        else:
+            self.deleted.pop(change.key, None)
+            self.items[change.key] = KeyValue(change.key, change.value, change.revision)
+        lapsed = boottime() - self.restored_at < OUTAGE_S
+        self.listener.record_changed(change.key, change.value, lapsed=lapsed)
+
+    def part_after(self, revision: Revision, now: float) -> FeedPart:
+        """Return what another entry that stands at ``revision`` lacks."""
+        age = self.age_s(now)
+        if revision < self.recent_from:
+            items = self.items.values()
+            changes = tuple(Change(one.key, one.value, one.revision) for one in items)
+            return FeedPart(True, changes, self.revision, age)
+        newer = tuple(one for one in self.recent if one.revision > revision)
+        return FeedPart(False, newer, self.revision, age)
+
+    def take_part(self, part: FeedPart, now: float) -> None:
+        """Take records from another entry's copy."""
+        if part.whole:
+            if part.revision >= self.revision:
+                items = [
+                    KeyValue(one.key, one.value, one.revision)
+                    for one in part.changes
+                    if one.value is not None
+                ]
+                self.replace(items, part.revision)
+        else:
+            self.extend(part.changes, part.revision)
+        if part.revision >= self.revision:
+            self.confirm(now - part.age_s, now)
+
+
+class StoreFeed:
+    """Follows the store itself."""
+
+    def __init__(
+        self,
+        store: Store,
+        copy: RecordCopy,
+        events: EventLog,
+        *,
+        wanted: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.store = store
+        self.copy = copy
+        self.events = events
+        self.wanted = wanted
+        self.listed = False
+        self.failing = False
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to follow; does not wait for the first listing."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End following."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        """Follow for as long as the process runs, through every failure."""
+        while True:
+            try:
+                began = boottime()
+                await self.step()
+                self.failing = False
+                await asyncio.sleep(max(0.0, PACE_S - (boottime() - began)))
+            except StoreHistoryLost:
+                self.listed = False
+            except MasticdeckError as error:
+                self.note_failure(error)
+                await asyncio.sleep(RETRY_S)
+
+    async def step(self) -> None:
+        """Make one call and take in its answer."""
+        if not self.wanted():
+            return
+        sent = boottime()
+        if not self.listed:
+            listing = await self.store.list("")
+            self.copy.confirm(sent, boottime())
+            self.copy.replace(listing.items, listing.revision)
+            self.listed = True
+            self.events.emit(
+                Code.FEED_LOADED, revision=listing.revision, records=len(listing.items)
+            )
+            return
+        changes = await self.store.watch("", self.copy.revision, wait_s=WATCH_WAIT_S)
+        self.copy.confirm(max(sent, boottime() - PACE_S), boottime())
+        self.copy.extend(changes.changes, changes.revision)
+
+    def note_failure(self, error: MasticdeckError) -> None:
+        """Record the first failure in a row."""
+        if not self.failing:
+            self.failing = True
+            self.events.emit(
+                Code.FEED_FAILED,
+                level=logging.WARNING,
+                error=error.code,
+                detail=error.detail,
+                revision=self.copy.revision,
+                age_s=round(self.copy.age_s(boottime()), 3),
+            )
--- a/src/masticdeck/coordination/health.py
+++ b/src/masticdeck/coordination/health.py
@@ -49,15 +49,27 @@
     """Which instances this entry may use."""
 
     def __init__(
-        self, instances: tuple[Instance, ...], *, seed: int | None = None
+        self, instances: tuple[Instance, ...] = (), *, seed: int | None = None
     ) -> None:
         self.random = random.Random(seed)
-        self.by_instance = {one.id: InstanceHealth(one.service) for one in instances}
+        self.by_instance: dict[InstanceId, InstanceHealth] = {}
         self.of_service: defaultdict[ServiceId, list[InstanceHealth]] = defaultdict(
             list
         )
-        for state in self.by_instance.values():
-            self.of_service[state.service].append(state)
+        for one in instances:
+            self.add(one.id, one.service)
+
+    def add(self, instance: InstanceId, service: ServiceId) -> None:
+        """Begin to judge an instance, or begin anew after its restart."""
+        self.remove(instance)
+        state = self.by_instance[instance] = InstanceHealth(service)
+        self.of_service[service].append(state)
+
+    def remove(self, instance: InstanceId) -> None:
+        """Forget an instance."""
+        state = self.by_instance.pop(instance, None)
+        if state is not None:
+            self.of_service[state.service].remove(state)
 
     def allows(
         self, instance: InstanceId, used: int, now: float, *, urgent: bool = False
--- /dev/null
+++ b/src/masticdeck/coordination/placement.py
@@ -0,0 +1,118 @@
+"""Which instances may serve a request, the best first.
+
+Load that it answers: an instance that has handled an object lately needs a
+third of the work for it, and every instance keeps few objects. A key therefore
+has ``COPIES`` instances in the whole system, the same at every entry, chosen by
+rendezvous hashing: when an instance comes or goes, only its own keys move.
+
+Requests without a key go by distance. Large answers stay close, because bytes
+between zones cost more than the work saved by a warm instance.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import IntEnum
+
+import xxhash
+
+from masticdeck.ids import InstanceId, RegionId, ServiceId, ZoneId
+from masticdeck.state.fleet import Fleet, FleetInstance
+from masticdeck.state.routes import Route, RouteKind
+
+COPIES = 2
+"""Instances that serve one key; more of them are cold for most keys."""
+
+MAX_CACHED_ORDERS = 20_000
+"""Hash orders kept before the cache is emptied."""
+
+Usable = Callable[[FleetInstance], bool]
+
+
+class Distance(IntEnum):
+    """How far an instance is from this entry."""
+
+    ZONE = 0
+    REGION = 1
+    FAR = 2
+
+
+class Placement:
+    """Orders the instances of a service for one request."""
+
+    def __init__(self, fleet: Fleet, *, zone: ZoneId) -> None:
+        self.fleet = fleet
+        self.zone = zone
+        self.region = fleet.region_of[zone]
+        self.epoch = -1
+        self.orders: dict[tuple[ServiceId, str, bool], list[FleetInstance]] = {}
+
+    def distance(self, instance: FleetInstance) -> Distance:
+        """Return how far an instance is from this entry."""
+        if instance.zone == self.zone:
+            return Distance.ZONE
+        same = self.fleet.region_of[instance.zone] == self.region
+        return Distance.REGION if same else Distance.FAR
+
+    def candidates(
+        self, route: Route, service: ServiceId, key: str | None, usable: Usable
+    ) -> list[FleetInstance]:
+        """Return the instances that may serve a request, the best first."""
+        if key is None or not route.sticky:
+            return self.by_distance(route, service, usable)
+        ordered = self.by_key(route, service, f"{route.prefix}{key}")
+        found = [
+            instance
+            for instance in ordered
+            if may_serve(route, self.fleet.region_of[instance.zone])
+            and usable(instance)
+        ]
+        return found[:COPIES]
+
+    def by_distance(
+        self, route: Route, service: ServiceId, usable: Usable
+    ) -> list[FleetInstance]:
+        """Return every usable instance, the nearest first."""
+        found = [
+            instance
+            for instance in self.fleet.in_service(service)
+            if may_serve(route, self.fleet.region_of[instance.zone])
+            and usable(instance)
+        ]
+        return sorted(found, key=self.distance)
+
+    def by_key(self, route: Route, service: ServiceId, key: str) -> list[FleetInstance]:
+        """Return a service's instances in the hash order of a key.
+
+        For large answers the instances of this zone, or else of this region,
+        come first.
+        """
+        if self.epoch != self.fleet.epoch or len(self.orders) > MAX_CACHED_ORDERS:
+            self.orders.clear()
+            self.epoch = self.fleet.epoch
+        near = route.kind is RouteKind.DOWNLOAD
+        order = self.orders.get((service, key, near))
+        if order is None:
+            order = sorted(
+                self.fleet.in_service(service),
+                key=lambda instance: (
+                    self.distance(instance) if near else Distance.ZONE,
+                    -rendezvous_weight(key, instance.id),
+                ),
+            )
+            self.orders[service, key, near] = order
+        return order
+
+
+def may_serve(route: Route, region: RegionId) -> bool:
+    """Return whether a route's requests may run in a region."""
+    return not route.home_regions or region in route.home_regions
+
+
+def rendezvous_weight(key: str, instance: InstanceId) -> int:
+    """Return the weight of an instance for a key; the highest one serves it.
+
+    Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
+    rates", 1998.
+    """
+    return xxhash.xxh64_intdigest(f"{key}/{instance}")
--- a/src/masticdeck/coordination/retries.py
+++ b/src/masticdeck/coordination/retries.py
@@ -27,14 +27,22 @@
     True
     """
 
-    def __init__(self, *, saved: float = 1.0) -> None:
+    def __init__(
+        self,
+        *,
+        saved: float = 1.0,
+        earned: float = EARNED,
+        most_saved: float = MOST_SAVED,
+    ) -> None:
         self.initial = saved
+        self.earned = earned
+        self.most_saved = most_saved
         self.saved: dict[ServiceId, float] = {}
 
     def earn(self, service: ServiceId) -> None:
         """Count a first attempt."""
         saved = self.saved.get(service, self.initial)
-        self.saved[service] = min(MOST_SAVED, saved + EARNED)
+        self.saved[service] = min(self.most_saved, saved + self.earned)
 
     def spend(self, service: ServiceId) -> bool:
         """Return whether a repeat may be sent, and count it."""
--- /dev/null
+++ b/src/masticdeck/coordination/room.py
@@ -0,0 +1,121 @@
+"""Room at instances: which of them can take one more request now.
+
+Load that it answers: several entries send to the same instances without asking
+each other, so an instance fills up although no single entry sends much. Each
+answer tells how many requests of all entries run and wait there; between
+answers an entry knows only its own. The estimate is the entry's own requests
+plus what others had there, the latter trusted for ``REPORT_TRUST_S``.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from masticdeck.ids import InstanceId
+from masticdeck.protocol.dialect import InstanceUse
+from masticdeck.state.fleet import FleetInstance
+
+REPORT_TRUST_S = 0.6
+"""Age in seconds up to which a report of load counts; about one service time."""
+
+UNKNOWN_PART = 0.5
+"""Part of an instance's slots that one entry uses without a recent report."""
+
+LATENCY_WEIGHT = 0.2
+"""Weight of a new latency in the moving average."""
+
+COLD_BURST = 1.0
+"""Requests that one entry may send to a cold instance at once."""
+
+
+@dataclass(slots=True, eq=False)
+class InstanceRoom:
+    """What one entry knows of the use of one instance.
+
+    ``own`` counts this entry's requests there; ``others`` those of other
+    entries at ``reported_at``. ``cold_credit`` is the number of requests that a
+    cold instance may get from this entry.
+    """
+
+    slots: int
+    own: int = 0
+    others: int = 0
+    reported_at: float = float("-inf")
+    latency_s: float | None = None
+    cold_credit: float = COLD_BURST
+    cold_at: float = 0.0
+
+    def has_fresh_report(self, now: float) -> bool:
+        """Return whether the instance reported its load a moment ago."""
+        return now - self.reported_at < REPORT_TRUST_S
+
+    def used(self, now: float) -> int:
+        """Return the estimated number of requests at the instance."""
+        return self.own + (self.others if self.has_fresh_report(now) else 0)
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more request would find a slot."""
+        if self.has_fresh_report(now):
+            return self.used(now) < self.slots
+        return self.own < max(1, int(self.slots * UNKNOWN_PART))
+
+
+class Rooms:
+    """The use of every instance, as this entry sees it."""
+
+    def __init__(self) -> None:
+        self.by_instance: dict[InstanceId, InstanceRoom] = {}
+
+    def get(self, instance: FleetInstance) -> InstanceRoom:
+        """Return what is known of an instance."""
+        room = self.by_instance.get(instance.id)
+        if room is None:
+            room = self.by_instance[instance.id] = InstanceRoom(instance.slots)
+        return room
+
+    def forget(self, instance: InstanceId) -> None:
+        """Drop what is known of an instance that is gone."""
+        self.by_instance.pop(instance, None)
+
+    def begin(self, instance: FleetInstance) -> InstanceRoom:
+        """Count a request that is sent to an instance."""
+        room = self.get(instance)
+        room.own += 1
+        return room
+
+    def report(self, room: InstanceRoom, use: InstanceUse, now: float) -> None:
+        """Take in what an answer says of its instance's load.
+
+        The instance counts the request that it answers, which this entry
+        counts as its own until ``end``.
+        """
+        room.slots = use.slots
+        room.others = max(0, use.running + use.waiting - room.own)
+        room.reported_at = now
+
+    def end(self, room: InstanceRoom, latency_s: float | None) -> None:
+        """Count a request's end; ``latency_s`` is None when it got no answer."""
+        room.own -= 1
+        if latency_s is None:
+            return
+        if room.latency_s is None:
+            room.latency_s = latency_s
+        else:
+            room.latency_s += LATENCY_WEIGHT * (latency_s - room.latency_s)
+
+    def take_cold_credit(
+        self, room: InstanceRoom, per_s: float, now: float, *, spend: bool
+    ) -> bool:
+        """Return whether a cold instance bears one more request.
+
+        ``per_s`` is this entry's part of the instance's rate, in requests a
+        second.
+        """
+        grown = room.cold_credit + per_s * (now - room.cold_at)
+        room.cold_credit = min(COLD_BURST, grown)
+        room.cold_at = now
+        if room.cold_credit < 1.0:
+            return False
+        if spend:
+            room.cold_credit -= 1.0
+        return True
--- /dev/null
+++ b/src/masticdeck/coordination/roster.py
@@ -0,0 +1,95 @@
+"""Registration of this entry in the platform's store, under a lease.
+
+The record vanishes when the process dies, freezes for longer than the lease or
+leaves, so the directory stops naming it without anybody deciding so.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.fleet_view import ENTRY_PREFIX, encode_entry
+from masticdeck.errors import MasticdeckError, StoreConflict
+from masticdeck.events import Code, EventLog
+from masticdeck.protocol.store import LeaseId, Store
+from masticdeck.state.fleet import FleetEntry
+
+LEASE_S = 4.0
+"""Lifetime of the registration without renewal, in seconds."""
+
+RENEW_S = 1.2
+"""Seconds between renewals: two may be lost before the lease ends."""
+
+RETRY_S = 0.3
+"""Seconds between attempts while the store does not answer."""
+
+
+class Roster:
+    """Keeps this entry registered while it takes requests."""
+
+    def __init__(self, store: Store, entry: FleetEntry, events: EventLog) -> None:
+        self.store = store
+        self.entry = entry
+        self.events = events
+        self.lease: LeaseId | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to register."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End the registration if that was not done before."""
+        await self.leave()
+
+    async def leave(self) -> None:
+        """End the registration now; the lease does it when the store is away."""
+        if self.task is not None:
+            self.task.cancel()
+            self.task = None
+        lease, self.lease = self.lease, None
+        if lease is None:
+            return
+        try:
+            await self.store.revoke_lease(lease)
+            self.events.emit(Code.ENTRY_UNREGISTERED, entry=self.entry.id)
+        except MasticdeckError as error:
+            self.events.emit(
+                Code.ENTRY_UNREGISTERED,
+                level=logging.WARNING,
+                entry=self.entry.id,
+                error=error.code,
+            )
+
+    async def run(self) -> None:
+        """Register, and again whenever the lease has ended."""
+        while True:
+            try:
+                await self.register()
+                await self.renew()
+            except MasticdeckError:
+                await asyncio.sleep(RETRY_S)
+
+    async def register(self) -> None:
+        """Write the record under a new lease."""
+        self.lease = await self.store.grant_lease(LEASE_S)
+        key = f"{ENTRY_PREFIX}{self.entry.id}"
+        await self.store.put(key, encode_entry(self.entry), lease=self.lease)
+        self.events.emit(Code.ENTRY_REGISTERED, entry=self.entry.id, lease=self.lease)
+
+    async def renew(self) -> None:
+        """Renew the lease until it has ended."""
+        assert self.lease is not None
+        renewed_at = boottime()
+        while boottime() - renewed_at < LEASE_S:
+            await asyncio.sleep(RENEW_S)
+            sent = boottime()
+            try:
+                await self.store.renew_lease(self.lease)
+                renewed_at = sent
+            except StoreConflict:
+                return
+            except MasticdeckError:
+                await asyncio.sleep(RETRY_S)
--- a/src/masticdeck/errors.py
+++ b/src/masticdeck/errors.py
@@ -62,6 +62,15 @@
     status = 502
 
 
+class StoreHistoryLost(MasticdeckError):
+    """The store no longer has the changes after the revision asked for."""
+
+    code = "MD1004"
+    title = "store history lost"
+    remedy = "read the keys anew and watch from their revision"
+    status = 503
+
+
 class SettingsInvalid(MasticdeckError):
     """A settings or deployment file has errors, all listed in the detail."""
 
--- /dev/null
+++ b/src/masticdeck/gateway/app.py
@@ -0,0 +1,177 @@
+"""Builds the application of an entry on a live fleet from its settings."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from typing import final
+
+from masticdeck.application import Application, Component
+from masticdeck.clock import boottime
+from masticdeck.coordination.dispatch import Dispatcher
+from masticdeck.coordination.feed import RecordCopy, StoreFeed
+from masticdeck.coordination.fleet_view import FleetView
+from masticdeck.coordination.health import Health
+from masticdeck.coordination.placement import Placement
+from masticdeck.coordination.retries import RetryBudget
+from masticdeck.coordination.room import Rooms
+from masticdeck.coordination.roster import Roster
+from masticdeck.events import Code, EventLog
+from masticdeck.gateway.directory import Directory
+from masticdeck.gateway.forwarder import Forwarder
+from masticdeck.gateway.settings import Address, GatewaySettings
+from masticdeck.metrics import Metrics
+from masticdeck.protocol.dialect import Dialect
+from masticdeck.protocol.records import RecordDecoder
+from masticdeck.protocol.store import Store
+from masticdeck.state.fleet import Fleet, FleetEntry
+from masticdeck.state.routes import CallerLimits
+from masticdeck.transport.http1_server import CallerServer, InboundRequest
+from masticdeck.transport.instance_pool import InstancePool
+
+ACCEPT_AFTER_STOP_S = 2.5
+"""How long callers with an older directory answer are still served."""
+
+EXIT_MARGIN_S = 0.5
+"""Time before the kill at which a stop no longer waits for requests."""
+
+STOP_POLL_S = 0.05
+"""Seconds between checks whether the last request has ended."""
+
+BUDGET_PART = 0.7
+"""Part of the allowed repeats that entries use, as they do not ask each other."""
+
+Answer = Callable[[InboundRequest], Awaitable[None]]
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Platform:
+    """What a platform's adapter provides."""
+
+    store: Store
+    decoder: RecordDecoder
+    dialect: Dialect
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Endpoints:
+    """Handlers of the calls that are not callers' requests."""
+
+    readiness: Answer
+    lookup: Answer
+
+
+class Gateway:
+    """The parts of an entry on a live fleet."""
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        platform: Platform,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.settings = settings
+        self.events = events
+        self.metrics = metrics
+        self.fleet = Fleet(dict(settings.region_of))
+        self.view = FleetView(self.fleet, platform.decoder, events)
+        self.copy = RecordCopy(self.view)
+        self.feed = StoreFeed(platform.store, self.copy, events)
+        self.own = FleetEntry(
+            id=settings.entry,
+            zone=settings.zone,
+            caller_address=str(settings.callers),
+            peer_host=settings.peer.host,
+            peer_port=settings.peer.port,
+            incarnation=time.time_ns(),
+        )
+        self.directory = Directory(self.fleet, self.own)
+        self.roster = Roster(platform.store, self.own, events)
+        self.rooms = Rooms()
+        self.health = Health()
+        self.pool = InstancePool()
+        self.dispatcher = Dispatcher(
+            self.fleet,
+            Placement(self.fleet, zone=settings.zone),
+            self.rooms,
+            self.health,
+            entries=lambda: len(self.directory.entries()),
+        )
+        self.forwarder = Forwarder(
+            fleet=self.fleet,
+            copy=self.copy,
+            dialect=platform.dialect,
+            dispatcher=self.dispatcher,
+            rooms=self.rooms,
+            health=self.health,
+            budget=RetryBudget(earned=BUDGET_PART * settings.retry_ratio),
+            pool=self.pool,
+            events=events,
+            metrics=metrics,
+        )
+        self.view.on_gone.append(self.forwarder.forget)
+        self.callers = serve_on(
+            settings.callers, self.forwarder.handle, self.forwarder.limits
+        )
+
+    def build(
+        self, store: Component, endpoints: Endpoints, others: list[Component]
+    ) -> Application:
+        """Return the application, not yet started."""
+        application = Application(self.events)
+        application.before_stop.append(self.leave)
+        components: list[Component] = [
+            store,
+            self.pool,
+            self.feed,
+            self.callers,
+            serve_on(self.settings.readiness, endpoints.readiness),
+            serve_on(self.settings.directory, endpoints.lookup),
+            serve_on(self.settings.metrics, self.answer_metrics),
+            self.roster,
+            *others,
+        ]
+        for component in components:
+            application.add(component)
+        return application
+
+    async def leave(self) -> None:
+        """Let callers move away and requests end before the process does."""
+        began = boottime()
+        self.directory.leaving = True
+        self.events.emit(Code.ENTRY_LEAVING, in_flight=self.callers.in_flight)
+        await self.roster.leave()
+        self.callers.begin_close()
+        await asyncio.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (boottime() - began)))
+        self.callers.stop_listening()
+        last = began + self.settings.stop_grace_s - EXIT_MARGIN_S
+        while self.callers.in_flight and boottime() < last:
+            await asyncio.sleep(STOP_POLL_S)
+        self.events.emit(Code.ENTRY_FINISHED, in_flight=self.callers.in_flight)
+
+    async def answer_metrics(self, request: InboundRequest) -> None:
+        """Answer a scrape in the usual text format."""
+        now = boottime()
+        self.metrics.gauge("view_age_seconds", self.copy.age_s(now))
+        self.metrics.gauge("instances", len(self.fleet.instances))
+        self.metrics.gauge("entries", len(self.directory.entries()))
+        self.metrics.gauge("requests_in_flight", self.callers.in_flight)
+        self.metrics.gauge("connections_opened", self.pool.opened)
+        waiting = sum(len(queue) for queue in self.dispatcher.waiting.values())
+        self.metrics.gauge("requests_waiting", waiting)
+        headers = [(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")]
+        request.connection.send_whole(200, headers, self.metrics.render())
+
+
+def serve_on(
+    address: Address,
+    handler: Answer,
+    limits: Callable[[], CallerLimits] = CallerLimits,
+) -> CallerServer:
+    """Return a server for an address, not yet started."""
+    return CallerServer(address.host, address.port, handler, limits)
--- /dev/null
+++ b/src/masticdeck/gateway/forwarder.py
@@ -0,0 +1,191 @@
+"""What all requests of one entry share, and the answers of its own."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.dispatch import Dispatcher, Ticket
+from masticdeck.coordination.feed import RecordCopy
+from masticdeck.coordination.health import Health
+from masticdeck.coordination.retries import RetryBudget
+from masticdeck.coordination.room import Rooms
+from masticdeck.coordination.split import TrafficSplit
+from masticdeck.errors import RequestInvalid
+from masticdeck.events import Code, EventLog
+from masticdeck.gateway.exchange import AttemptEnd, Exchange, RouteGone
+from masticdeck.metrics import Metrics
+from masticdeck.protocol.dialect import Dialect, Headers
+from masticdeck.state.fleet import Fleet, FleetInstance
+from masticdeck.state.routes import CallerLimits
+from masticdeck.transport.http1_server import InboundRequest
+from masticdeck.transport.instance_pool import InstancePool
+
+RETRY_AFTER_S = 0.3
+"""Wait that a refused caller is told: about one service time at a warm instance."""
+
+NO_VIEW_RETRY_S = 0.5
+"""Wait that a caller is told while this entry knows no configuration."""
+
+UNREACHABLE_ENDS = frozenset({AttemptEnd.UNREACHABLE, AttemptEnd.MISDIRECTED})
+FAILED_ENDS = frozenset(
+    {
+        AttemptEnd.SHED,
+        AttemptEnd.BROKEN,
+        AttemptEnd.FAILED,
+        AttemptEnd.LATE,
+        AttemptEnd.CUT,
+    }
+)
+
+
+class Forwarder:
+    """Takes callers' requests to instances."""
+
+    def __init__(
+        self,
+        *,
+        fleet: Fleet,
+        copy: RecordCopy,
+        dialect: Dialect,
+        dispatcher: Dispatcher,
+        rooms: Rooms,
+        health: Health,
+        budget: RetryBudget,
+        pool: InstancePool,
+        events: EventLog,
+        metrics: Metrics,
+    ) -> None:
+        self.fleet = fleet
+        self.copy = copy
+        self.dialect = dialect
+        self.dispatcher = dispatcher
+        self.rooms = rooms
+        self.health = health
+        self.budget = budget
+        self.pool = pool
+        self.events = events
+        self.metrics = metrics
+        self.split = TrafficSplit()
+
+    def limits(self) -> CallerLimits:
+        """Return the limits on callers that are in force."""
+        routes = self.fleet.routes
+        return CallerLimits() if routes is None else routes.limits
+
+    def view_age_s(self) -> float:
+        """Return the seconds since the records were known to be current."""
+        return self.copy.age_s(boottime())
+
+    async def handle(self, request: InboundRequest) -> None:
+        """Answer one request."""
+        if self.fleet.routes is None:
+            self.refuse(request, "", reason="no configuration", after=NO_VIEW_RETRY_S)
+            return
+        exchange: Exchange | None = None
+        try:
+            exchange = Exchange(self, request)
+            await exchange.run()
+        except RequestInvalid as error:
+            self.reject(request, 400, error.detail)
+        except RouteGone:
+            self.reject(request, 404, "no route matches host and path")
+        except asyncio.CancelledError:
+            if exchange is not None:
+                self.events.emit(
+                    Code.REQUEST_ABANDONED,
+                    request=exchange.marks.id,
+                    attempts=exchange.attempts,
+                    left_ms=exchange.left_ms(),
+                )
+                self.record(exchange.ticket, "abandoned", request.received_at)
+            raise
+        except ConnectionError:
+            raise
+        except Exception as error:
+            self.events.emit(
+                Code.REQUEST_FAILED,
+                level=logging.ERROR,
+                request="" if exchange is None else exchange.marks.id,
+                error=repr(error),
+            )
+            self.fail(request)
+
+    def refuse(
+        self,
+        request: InboundRequest,
+        request_id: str,
+        *,
+        reason: str,
+        after: float = RETRY_AFTER_S,
+    ) -> None:
+        """Answer that the request did not run and when to come back."""
+        self.events.emit(
+            Code.REQUEST_REFUSED,
+            request=request_id,
+            reason=reason,
+            retry_after_s=after,
+            waited_ms=round((boottime() - request.received_at) * 1000),
+            view_age_ms=round(min(self.view_age_s(), 1e6) * 1000),
+        )
+        self.metrics.count("refusals")
+        self.answer_plain(request, 503, [(b"Retry-After", f"{after:g}".encode())])
+
+    def reject(self, request: InboundRequest, status: int, detail: str) -> None:
+        """Answer that the request itself is wrong."""
+        routes = self.fleet.routes
+        self.events.emit(
+            Code.REQUEST_REFUSED,
+            status=status,
+            reason=detail,
+            target=request.target.decode("latin-1"),
+            version=0 if routes is None else routes.version,
+        )
+        self.metrics.count("rejections")
+        self.answer_plain(request, status)
+
+    def fail(self, request: InboundRequest) -> None:
+        """End a request after an error of this entry's own."""
+        if request.connection.begun:
+            request.connection.abort()
+        else:
+            self.answer_plain(request, 502)
+
+    def answer_plain(
+        self, request: InboundRequest, status: int, headers: Headers | None = None
+    ) -> None:
+        """Send an answer without a body."""
+        request.connection.send_whole(status, headers or [], b"")
+
+    def judge(self, instance: FleetInstance, end: AttemptEnd) -> None:
+        """Learn from the end of an attempt whether an instance is well."""
+        if instance.id not in self.health.by_instance:
+            return
+        if end is AttemptEnd.ANSWERED:
+            if self.health.succeeded(instance.id):
+                self.events.emit(Code.INSTANCE_RESTORED, instance=instance.id)
+            return
+        unreachable = end in UNREACHABLE_ENDS
+        if not unreachable and end not in FAILED_ENDS:
+            return
+        ejection = self.health.failed(instance.id, boottime(), unreachable=unreachable)
+        if ejection is not None:
+            self.events.emit(
+                Code.INSTANCE_EJECTED,
+                level=logging.WARNING,
+                instance=instance.id,
+                after=end.value,
+                seconds=round(ejection.seconds, 3),
+            )
+
+    def forget(self, instance: FleetInstance) -> None:
+        """Drop what is known of an incarnation that is gone."""
+        self.rooms.forget(instance.id)
+        self.health.remove(instance.id)
+        self.pool.drop(instance)
+
+    def record(self, ticket: Ticket, end: str, received_at: float) -> None:
+        """Count a request's end."""
+        rank = f"p{ticket.route.priority}"
+        self.metrics.record(ticket.service, rank, end, boottime() - received_at)
--- /dev/null
+++ b/src/masticdeck/gateway/settings.py
@@ -0,0 +1,52 @@
+"""Settings of an entry on a live fleet, checked once at start."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from masticdeck.ids import EntryId, RegionId, ZoneId
+
+Port = Annotated[int, Field(gt=0, lt=65_536)]
+
+
+class Address(BaseModel):
+    """Host and port to listen on."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    host: str
+    port: Port
+
+    def __str__(self) -> str:
+        """Return ``host:port``."""
+        return f"{self.host}:{self.port}"
+
+
+class GatewaySettings(BaseModel):
+    """Settings of an entry on a live fleet.
+
+    Times are in seconds. ``retry_ratio`` and ``retry_slack`` bound the repeats
+    of all entries together: in any ``retry_window_s``, ``retry_ratio`` times the
+    requests plus ``retry_slack``. ``stop_grace_s`` is the time from the order
+    to stop to the kill.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    entry: EntryId
+    zone: ZoneId
+    region_of: dict[ZoneId, RegionId]
+    callers: Address
+    readiness: Address
+    directory: Address
+    peer: Address
+    metrics: Address
+    store: str
+    stop_grace_s: Annotated[float, Field(gt=0)] = 6.0
+    lookup_ttl_s: Annotated[float, Field(gt=0)] = 2.0
+    retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
+    retry_slack: Annotated[float, Field(ge=0)] = 0.0
+    retry_window_s: Annotated[float, Field(gt=0)] = 10.0
+    log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
--- /dev/null
+++ b/src/masticdeck/platform/headers.py
@@ -0,0 +1,124 @@
+"""The platform's headers on requests and answers."""
+
+from __future__ import annotations
+
+import math
+
+from masticdeck.errors import RequestInvalid
+from masticdeck.ids import InstanceId
+from masticdeck.protocol.dialect import (
+    AnswerMarks,
+    Headers,
+    InstanceUse,
+    RequestMarks,
+    end_to_end,
+    find_header,
+)
+
+REQUEST_ID = b"attempt-id"
+AFFINITY = b"affinity-key"
+REMAINING_MS = b"deadline-remaining-ms"
+EXPECTED_INSTANCE = b"expected-instance"
+NOT_RUN = b"not-executed"
+SIGNATURE = b"server-signature"
+USE = b"server-load"
+
+MAX_REMAINING_MS = 600_000
+MISDIRECTED = 421
+SET_HERE = frozenset(
+    {REMAINING_MS, EXPECTED_INSTANCE, b"content-length", b"expect", b"host"}
+)
+
+
+class PlatformDialect:
+    """Reads and writes the platform's headers."""
+
+    def read_request(self, headers: Headers) -> RequestMarks:
+        """Return a request's marks, or raise RequestInvalid."""
+        identity = find_header(headers, REQUEST_ID) or b""
+        affinity = find_header(headers, AFFINITY)
+        return RequestMarks(
+            id=identity.decode("latin-1"),
+            affinity=None if affinity is None else affinity.decode("latin-1"),
+            remaining_s=parse_remaining(find_header(headers, REMAINING_MS)),
+        )
+
+    def forward_headers(
+        self, headers: Headers, *, remaining_s: float, instance: InstanceId
+    ) -> Headers:
+        """Return the headers under which a request goes to an instance."""
+        host = find_header(headers, b"host") or b""
+        kept = [
+            (key, value)
+            for key, value in end_to_end(headers)
+            if key.lower() not in SET_HERE
+        ]
+        remaining_ms = max(1, math.floor(remaining_s * 1000))
+        return [
+            (b"Host", host),
+            *kept,
+            (b"Deadline-Remaining-Ms", str(remaining_ms).encode()),
+            (b"Expected-Instance", instance.encode()),
+        ]
+
+    def read_answer(self, status: int, headers: Headers) -> AnswerMarks:
+        """Return an answer's marks."""
+        identity = find_header(headers, REQUEST_ID)
+        connection = find_header(headers, b"connection") or b""
+        misdirected = status == MISDIRECTED
+        return AnswerMarks(
+            request_id=None if identity is None else identity.decode("latin-1"),
+            not_run=misdirected or find_header(headers, NOT_RUN) is not None,
+            misdirected=misdirected,
+            signed=find_header(headers, SIGNATURE) is not None,
+            use=parse_use(find_header(headers, USE)),
+            idle_s=parse_idle(find_header(headers, b"keep-alive")),
+            closes=b"close" in connection.lower(),
+        )
+
+    def answer_headers(self, headers: Headers) -> Headers:
+        """Return the headers under which an instance's answer goes back."""
+        return [
+            (key, value)
+            for key, value in end_to_end(headers)
+            if key.lower() != b"content-length"
+        ]
+
+
+def parse_remaining(value: bytes | None) -> float | None:
+    """Return the seconds that a caller still waits, None when it does not say.
+
+    >>> parse_remaining(b"1500")
+    1.5
+    """
+    if value is None:
+        return None
+    if not value.isdigit() or len(value) > 9:
+        raise RequestInvalid("the remaining time is not a number of milliseconds")
+    return min(int(value), MAX_REMAINING_MS) / 1000
+
+
+def parse_use(value: bytes | None) -> InstanceUse | None:
+    """Return what an instance says of its load, None when that is unreadable.
+
+    >>> parse_use(b"3,0,8")
+    InstanceUse(running=3, waiting=0, slots=8)
+    """
+    parts = (value or b"").split(b",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return InstanceUse(running, waiting, slots)
+
+
+def parse_idle(value: bytes | None) -> float | None:
+    """Return the seconds that an idle connection stays open, if stated.
+
+    >>> parse_idle(b"timeout=10, max=100")
+    10.0
+    """
+    for part in (value or b"").split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
--- /dev/null
+++ b/src/masticdeck/platform/records.py
@@ -0,0 +1,164 @@
+"""The platform's stored records, decoded into the fleet's types.
+
+A record that another writer has spoilt raises RecordInvalid; the caller drops
+that record and keeps the others.
+"""
+
+from __future__ import annotations
+
+import json
+from typing import Any
+
+from masticdeck.ids import InstanceId, RegionId, ServiceId, Version, ZoneId
+from masticdeck.platform.units import parse_duration
+from masticdeck.protocol.records import RecordInvalid, RecordKind
+from masticdeck.state.fleet import FleetInstance, InstanceState
+from masticdeck.state.routes import (
+    BackendService,
+    CallerLimits,
+    Route,
+    RouteId,
+    RouteKind,
+    RouteTable,
+    ServiceWeight,
+    order_by_prefix,
+)
+
+CONFIG_KEY = "op/config"
+EVACUATION_PREFIX = "op/evacuate/"
+INSTANCE_PREFIX = "servers/"
+MAX_SLOTS = 100_000
+
+
+class PlatformRecords:
+    """Decoder of the records that the operator and the instances write."""
+
+    def classify(self, key: str) -> tuple[RecordKind, str]:
+        """Return what a key holds and the name of its subject."""
+        if key == CONFIG_KEY:
+            return RecordKind.ROUTES, ""
+        if key.startswith(EVACUATION_PREFIX):
+            return RecordKind.EVACUATION, key[len(EVACUATION_PREFIX) :]
+        if key.startswith(INSTANCE_PREFIX):
+            return RecordKind.INSTANCE, key[len(INSTANCE_PREFIX) :]
+        return RecordKind.OTHER, key
+
+    def decode_routes(self, value: bytes) -> RouteTable:
+        """Return the configuration of a record."""
+        return guarded(decode_routes, value)
+
+    def decode_instance(self, name: str, value: bytes, now: float) -> FleetInstance:
+        """Return an instance; ``now`` is the boot time at which it was read."""
+        return guarded(
+            lambda fields: decode_instance(InstanceId(name), fields, now), value
+        )
+
+
+def guarded(decode: Any, value: bytes) -> Any:
+    """Decode a JSON record; any shape that does not fit is RecordInvalid."""
+    try:
+        return decode(json.loads(value))
+    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+        raise RecordInvalid(f"{type(error).__name__}: {error}"[:200]) from None
+
+
+def decode_routes(fields: dict[str, Any]) -> RouteTable:
+    """Return a configuration."""
+    hosts = {
+        text(host["hostname"]).lower(): order_by_prefix(
+            [decode_route(path) for path in host["paths"]]
+        )
+        for host in fields["hosts"]
+    }
+    services = [decode_service(service) for service in fields["services"]]
+    return RouteTable(
+        version=Version(whole(fields["version"])),
+        hosts=hosts,
+        services={service.id: service for service in services},
+        limits=decode_limits(fields["limits"]),
+    )
+
+
+def decode_route(fields: dict[str, Any]) -> Route:
+    """Return one route."""
+    split = fields.get("traffic_split") or [{"service": fields["service"], "weight": 1}]
+    return Route(
+        id=RouteId(text(fields["name"])),
+        prefix=text(fields["prefix"]),
+        kind=RouteKind(fields["kind"]),
+        timeout_s=parse_duration(fields["timeout"]),
+        objective_s=parse_duration(fields["target_latency"]),
+        priority=whole(fields["priority"]),
+        services=tuple(
+            ServiceWeight(ServiceId(text(part["service"])), float(part["weight"]))
+            for part in split
+        ),
+        max_attempts=max(1, whole(fields["max_attempts"])),
+        sticky=bool(fields.get("sticky_sessions")),
+        home_regions=frozenset(
+            RegionId(text(region)) for region in fields.get("home_regions") or ()
+        ),
+    )
+
+
+def decode_service(fields: dict[str, Any]) -> BackendService:
+    """Return one service."""
+    return BackendService(
+        id=ServiceId(text(fields["name"])),
+        health_path=text(fields["health_path"]),
+        connection_limit=whole(fields["connection_limit"]),
+        cold_start_s=parse_duration(fields["cold_start"]),
+        cold_requests_per_s=float(fields["cold_per_s"]),
+    )
+
+
+def decode_limits(fields: dict[str, Any]) -> CallerLimits:
+    """Return the bounds on what callers send."""
+    return CallerLimits(
+        max_header_bytes=whole(fields["max_header_bytes"]),
+        max_body_bytes=whole(fields["max_body_bytes"]),
+        header_timeout_s=parse_duration(fields["header_timeout"]),
+        idle_timeout_s=parse_duration(fields["idle_timeout"]),
+    )
+
+
+def decode_instance(
+    instance: InstanceId, fields: dict[str, Any], now: float
+) -> FleetInstance:
+    """Return one instance.
+
+    ``information`` holds what stays for an incarnation and ``status`` what
+    changes; ``sequence`` only counts the instance's own writes.
+    """
+    fixed, status = fields["information"], fields["status"]
+    host, _, port = text(fields["address"]).rpartition(":")
+    slots = whole(fixed["slots"])
+    if not host or not 0 < int(port) < 65_536 or not 0 < slots <= MAX_SLOTS:
+        raise ValueError("address or slots out of range")
+    whole(status["sequence"])
+    cold_s = parse_duration(status["cold_remaining"])
+    return FleetInstance(
+        id=instance,
+        service=ServiceId(text(fixed["service"])),
+        host=host,
+        port=int(port),
+        zone=ZoneId(text(fixed["zone"])),
+        slots=slots,
+        state=InstanceState(status["state"]),
+        born_ms=whole(fields.get("born", 0)),
+        cold_until=now + cold_s if cold_s else 0.0,
+    )
+
+
+def text(value: object) -> str:
+    """Return a string that is not empty, or raise TypeError."""
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is not text")
+    return value
+
+
+def whole(value: object) -> int:
+    """Return a whole number of zero or more, or raise TypeError."""
+    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+        raise TypeError(f"{value!r} is not a whole number")
+    return value
--- /dev/null
+++ b/src/masticdeck/platform/settings.py
@@ -0,0 +1,88 @@
+"""The platform's settings file, decoded into masticdeck's own settings."""
+
+from __future__ import annotations
+
+import os
+from pathlib import Path
+from typing import Any
+
+import yaml
+from pydantic import ValidationError
+
+from masticdeck.errors import SettingsInvalid
+from masticdeck.gateway.settings import GatewaySettings
+from masticdeck.platform.units import parse_duration
+
+PATH_VARIABLE = "MASTICDECK_CONFIG"
+METRICS_OFFSET = 1
+"""Place of the metrics port among the ports for traffic between nodes."""
+
+
+def settings_path() -> Path:
+    """Return the path of the settings file, or raise SettingsInvalid."""
+    path = os.environ.get(PATH_VARIABLE)
+    if not path:
+        raise SettingsInvalid(f"{PATH_VARIABLE} names no settings file")
+    return Path(path)
+
+
+def load_settings(path: Path) -> GatewaySettings:
+    """Read and check the settings; all errors are named at once."""
+    try:
+        fields = yaml.safe_load(path.read_text(encoding="utf-8"))
+    except (OSError, UnicodeDecodeError, yaml.YAMLError) as error:
+        raise SettingsInvalid(f"{path}: {error}") from None
+    if not isinstance(fields, dict):
+        raise SettingsInvalid(f"{path}: not a table")
+    try:
+        return GatewaySettings.model_validate(translate(fields))
+    except ValidationError as error:
+        faults = [
+            f"{'.'.join(str(part) for part in fault['loc'])}: {fault['msg']}"
+            for fault in error.errors()
+        ]
+        raise SettingsInvalid("; ".join(faults)) from None
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise SettingsInvalid(f"{path}: {type(error).__name__} {error}") from None
+
+
+def translate(fields: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings under masticdeck's names."""
+    listen = fields["listen_addresses"]
+    first, last = fields["internal_ports"]
+    if first + METRICS_OFFSET > last:
+        raise ValueError("internal_ports has too few ports")
+    host = fields["ip_address"]
+    bounds = fields.get("bounds") or {}
+    return {
+        "entry": fields["node_name"],
+        "zone": fields["zone"],
+        "region_of": fields["zones"],
+        "callers": split_address(listen["frontend"]),
+        "readiness": split_address(listen["ready"]),
+        "directory": split_address(listen["directory"]),
+        "peer": {"host": host, "port": first},
+        "metrics": {"host": host, "port": first + METRICS_OFFSET},
+        "store": fields["platform"]["address"],
+        **translate_bounds(bounds),
+    }
+
+
+def translate_bounds(bounds: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings that the bounds of the platform give."""
+    settings: dict[str, Any] = {}
+    if "grace_period" in bounds:
+        settings["stop_grace_s"] = parse_duration(bounds["grace_period"])
+    if "retry_budget_ratio" in bounds:
+        settings["retry_ratio"] = bounds["retry_budget_ratio"]
+    if "budget_slack" in bounds:
+        settings["retry_slack"] = bounds["budget_slack"]
+    if "budget_window" in bounds:
+        settings["retry_window_s"] = parse_duration(bounds["budget_window"])
+    return settings
+
+
+def split_address(text: str) -> dict[str, Any]:
+    """Return host and port of an address."""
+    host, _, port = text.rpartition(":")
+    return {"host": host, "port": int(port)}
--- /dev/null
+++ b/src/masticdeck/platform/store.py
@@ -0,0 +1,225 @@
+"""The platform's store behind masticdeck's ``Store`` interface."""
+
+from __future__ import annotations
+
+import base64
+import json
+import logging
+from collections.abc import Mapping
+from typing import Any
+
+from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
+
+from masticdeck.errors import (
+    StoreAnswerInvalid,
+    StoreConflict,
+    StoreHistoryLost,
+    StoreUnavailable,
+)
+from masticdeck.events import Code, EventLog
+from masticdeck.ids import Revision
+from masticdeck.metrics import Metrics
+from masticdeck.platform.units import format_duration
+from masticdeck.protocol.store import Change, Changes, KeyValue, LeaseId, Listing
+
+CALL_TIMEOUT_S = 1.5
+"""Longest wait for an answer; the store answers in milliseconds when it is well."""
+
+IDLE_CONNECTION_S = 20.0
+"""How long an idle connection to the store is kept, in seconds."""
+
+CONFLICTS = {412: "another revision", 404: "no such lease"}
+HISTORY_LOST = 410
+
+
+class PlatformStore:
+    """Client of the platform's store; one session for each process.
+
+    A write whose answer was lost raises StoreUnavailable although it may have
+    taken effect, now or some seconds later.
+    """
+
+    def __init__(self, address: str, *, events: EventLog, metrics: Metrics) -> None:
+        self.url = f"http://{address}/-"
+        self.events = events
+        self.metrics = metrics
+        self.available = True
+        self.session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the HTTP session."""
+        connector = TCPConnector(limit=0, keepalive_timeout=IDLE_CONNECTION_S)
+        self.session = ClientSession(connector=connector)
+
+    async def stop(self) -> None:
+        """Close the HTTP session."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Return the key's value, or None when it is absent."""
+        status, fields = await self.call("GET", "kv-key", query={"key": key})
+        return None if status == 404 else decode_item(fields)
+
+    async def list(self, prefix: str) -> Listing:
+        """Return every key below a prefix.
+
+        The pages are read one after the other; the listing's revision is that
+        of the first one, so that a watch from there misses nothing.
+        """
+        items: list[KeyValue] = []
+        first = Revision(0)
+        query = {"prefix": prefix}
+        while True:
+            fields = self.expect(await self.call("GET", "kv-range", query=query))
+            page = [decode_item(item) for item in fields["items"]]
+            first = first or Revision(int(fields["at"]))
+            items += page
+            if not fields.get("has_more") or not page:
+                return Listing(tuple(items), first)
+            query["after"] = page[-1].key
+
+    async def put(
+        self,
+        key: str,
+        value: bytes,
+        *,
+        expect: Revision | None = None,
+        lease: LeaseId | None = None,
+    ) -> Revision:
+        """Write a key and return its new revision."""
+        row: dict[str, Any] = {
+            "key": key,
+            "value": base64.b64encode(value).decode("ascii"),
+        }
+        if lease is not None:
+            row["lease"] = int(lease)
+        answer = await self.commit(key, expect, {"puts": [row], "deletes": []})
+        return Revision(int(answer["revision"]))
+
+    async def delete(self, key: str, *, expect: Revision | None = None) -> None:
+        """Delete a key."""
+        await self.commit(key, expect, {"puts": [], "deletes": [key]})
+
+    async def commit(
+        self, key: str, expect: Revision | None, change: dict[str, Any]
+    ) -> dict[str, Any]:
+        """Apply a change if the key has the revision expected of it."""
+        rows = [] if expect is None else [{"key": key, "revision": expect}]
+        body = {"expected": rows, **change}
+        return self.expect(await self.call("POST", "kv-txn", body=body))
+
+    async def grant_lease(self, ttl_s: float) -> LeaseId:
+        """Create a lease."""
+        body = {"ttl_time": format_duration(ttl_s)}
+        fields = self.expect(await self.call("POST", "kv-lease", body=body))
+        return LeaseId(str(fields["lease"]))
+
+    async def renew_lease(self, lease: LeaseId) -> None:
+        """Extend a lease."""
+        self.expect(await self.call("POST", f"kv-keep/{lease}"))
+
+    async def revoke_lease(self, lease: LeaseId) -> None:
+        """End a lease and delete its keys."""
+        self.expect(await self.call("DELETE", f"kv-lease-end/{lease}"))
+
+    async def watch(self, prefix: str, after: Revision, *, wait_s: float) -> Changes:
+        """Wait for changes below a prefix; raises StoreHistoryLost."""
+        query = {
+            "prefix": prefix,
+            "after": str(after),
+            "wait_ms": str(int(wait_s * 1000)),
+        }
+        answer = await self.call("GET", "kv-watch", query=query, wait_s=wait_s)
+        fields = self.expect(answer)
+        changes = tuple(decode_change(event) for event in fields["events"])
+        return Changes(changes, Revision(int(fields["at"])))
+
+    def expect(self, answer: tuple[int, dict[str, Any]]) -> dict[str, Any]:
+        """Return the fields of a successful answer."""
+        status, fields = answer
+        if status in CONFLICTS:
+            raise StoreConflict(CONFLICTS[status])
+        if status == HISTORY_LOST:
+            raise StoreHistoryLost()
+        if status != 200:
+            raise StoreAnswerInvalid(f"status {status}")
+        return fields
+
+    async def call(
+        self,
+        method: str,
+        name: str,
+        *,
+        query: Mapping[str, str] | None = None,
+        body: object = None,
+        wait_s: float = 0.0,
+    ) -> tuple[int, dict[str, Any]]:
+        """Send one call; return the status and the fields of its answer."""
+        if self.session is None:
+            raise StoreUnavailable("the store client is not started")
+        kind = name.partition("/")[0].removeprefix("kv-")
+        self.metrics.count(f"store_{kind.replace('-', '_')}_calls")
+        timeout = ClientTimeout(total=CALL_TIMEOUT_S + wait_s)
+        try:
+            async with self.session.request(
+                method, f"{self.url}/{name}", params=query, json=body, timeout=timeout
+            ) as response:
+                status, content = response.status, await response.read()
+            fields = decode_fields(status, content)
+        except (TimeoutError, ClientError, OSError) as error:
+            raise self.lost(f"{kind}: {type(error).__name__}") from error
+        except StoreUnavailable as error:
+            raise self.lost(f"{kind}: {error.detail}") from error
+        self.note(available=True)
+        return status, fields
+
+    def lost(self, detail: str) -> StoreUnavailable:
+        """Record that a call got no usable answer."""
+        self.metrics.count("store_failures")
+        self.note(available=False, detail=detail)
+        return StoreUnavailable(detail)
+
+    def note(self, *, available: bool, detail: str = "") -> None:
+        """Emit an event when the store begins or ceases to answer."""
+        if available is self.available:
+            return
+        self.available = available
+        if available:
+            self.events.emit(Code.STORE_AVAILABLE)
+        else:
+            self.events.emit(
+                Code.STORE_UNAVAILABLE, level=logging.WARNING, error=detail
+            )
+
+
+def decode_fields(status: int, content: bytes) -> dict[str, Any]:
+    """Return the fields of an answer, or raise for one that says nothing."""
+    if status == 429 or status >= 500:
+        raise StoreUnavailable(f"status {status}")
+    try:
+        fields = json.loads(content)
+    except ValueError:
+        fields = None
+    if isinstance(fields, dict):
+        return fields
+    if status != 200:
+        return {}
+    raise StoreAnswerInvalid("the answer is not a JSON object")
+
+
+def decode_item(item: Mapping[str, Any]) -> KeyValue:
+    """Return an item of an answer, or raise StoreAnswerInvalid."""
+    try:
+        value = base64.b64decode(item["value"], validate=True)
+        return KeyValue(str(item["key"]), value, Revision(int(item["revision"])))
+    except (KeyError, TypeError, ValueError):
+        raise StoreAnswerInvalid("an item lacks key, value or revision") from None
+
+
+def decode_change(event: Mapping[str, Any]) -> Change:
+    """Return a change of an answer, or raise StoreAnswerInvalid."""
+    if event.get("tombstone"):
+        return Change(str(event["key"]), None, Revision(int(event["revision"])))
+    item = decode_item(event)
+    return Change(item.key, item.value, item.revision)
--- /dev/null
+++ b/src/masticdeck/protocol/records.py
@@ -0,0 +1,35 @@
+"""Records in the platform's store, as the feed of the fleet sees them."""
+
+from __future__ import annotations
+
+from enum import Enum
+from typing import Protocol
+
+from masticdeck.state.fleet import FleetInstance
+from masticdeck.state.routes import RouteTable
+
+
+class RecordInvalid(Exception):
+    """A stored record that cannot be read; it names nothing to use."""
+
+
+class RecordKind(Enum):
+    """What a key of the store holds."""
+
+    ROUTES = "routes"
+    EVACUATION = "evacuation"
+    INSTANCE = "instance"
+    OTHER = "other"
+
+
+class RecordDecoder(Protocol):
+    """Reads the records of one platform."""
+
+    def classify(self, key: str) -> tuple[RecordKind, str]:
+        """Return what a key holds and the name of its subject."""
+
+    def decode_routes(self, value: bytes) -> RouteTable:
+        """Return a configuration, or raise RecordInvalid."""
+
+    def decode_instance(self, name: str, value: bytes, now: float) -> FleetInstance:
+        """Return an instance read at boot time ``now``, or raise RecordInvalid."""
--- /dev/null
+++ b/src/masticdeck/state/fleet.py
@@ -0,0 +1,121 @@
+"""The live view of the fleet: instances, entries, evacuations and routes.
+
+Everything here may change under load. ``epoch`` grows with each change that
+may alter a placement, so that derived tables know when they are out of date.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+from enum import Enum
+from typing import final
+
+from masticdeck.ids import EntryId, InstanceId, RegionId, ServiceId, ZoneId
+from masticdeck.state.routes import RouteTable
+
+
+class InstanceState(Enum):
+    """What an instance reports of itself."""
+
+    READY = "ready"
+    DRAINING = "draining"
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetInstance:
+    """One incarnation of a backend instance.
+
+    ``born_ms`` tells incarnations with the same id apart. ``cold_until`` is the
+    boot time in seconds at which the instance bears its full rate.
+    """
+
+    id: InstanceId
+    service: ServiceId
+    host: str
+    port: int
+    zone: ZoneId
+    slots: int
+    state: InstanceState
+    born_ms: int
+    cold_until: float = 0.0
+
+
+@final
+@dataclass(frozen=True, slots=True, kw_only=True)
+class FleetEntry:
+    """One running entry: where callers and where other entries reach it."""
+
+    id: EntryId
+    zone: ZoneId
+    caller_address: str
+    peer_host: str
+    peer_port: int
+    incarnation: int
+
+
+class Fleet:
+    """What this process believes of the fleet.
+
+    ``region_of`` comes from the settings and names every zone; an instance in
+    a zone without a region is not used.
+    """
+
+    def __init__(self, region_of: dict[ZoneId, RegionId]) -> None:
+        self.region_of = region_of
+        self.routes: RouteTable | None = None
+        self.instances: dict[InstanceId, FleetInstance] = {}
+        self.of_service: dict[ServiceId, dict[InstanceId, FleetInstance]] = {}
+        self.entries: dict[EntryId, FleetEntry] = {}
+        self.evacuated: set[ZoneId] = set()
+        self.zone_cold_until: dict[ZoneId, float] = {}
+        self.epoch = 0
+
+    def put_instance(self, instance: FleetInstance) -> None:
+        """Add an instance or replace what was known of it."""
+        self.remove_instance(instance.id)
+        self.instances[instance.id] = instance
+        self.of_service.setdefault(instance.service, {})[instance.id] = instance
+        self.epoch += 1
+
+    def remove_instance(self, instance: InstanceId) -> FleetInstance | None:
+        """Forget an instance; return what was known of it."""
+        known = self.instances.pop(instance, None)
+        if known is not None:
+            del self.of_service[known.service][instance]
+            self.epoch += 1
+        return known
+
+    def begin_evacuation(self, zone: ZoneId) -> None:
+        """Stop using the instances of a zone."""
+        self.evacuated.add(zone)
+        self.epoch += 1
+
+    def end_evacuation(self, zone: ZoneId, *, cold_until: float) -> None:
+        """Use a zone's instances again, with the care that cold ones need."""
+        self.evacuated.discard(zone)
+        self.zone_cold_until[zone] = cold_until
+        self.epoch += 1
+
+    def use_routes(self, routes: RouteTable) -> bool:
+        """Put a newer configuration in force; return False for an older one."""
+        if self.routes is not None and routes.version <= self.routes.version:
+            return False
+        self.routes = routes
+        self.epoch += 1
+        return True
+
+    def in_service(self, service: ServiceId) -> Iterable[FleetInstance]:
+        """Return the instances of a service that may get new requests."""
+        for instance in self.of_service.get(service, {}).values():
+            if (
+                instance.state is InstanceState.READY
+                and instance.zone not in self.evacuated
+                and instance.zone in self.region_of
+            ):
+                yield instance
+
+    def cold_until(self, instance: FleetInstance) -> float:
+        """Return the boot time until which an instance counts as cold."""
+        return max(instance.cold_until, self.zone_cold_until.get(instance.zone, 0.0))
--- /dev/null
+++ b/src/masticdeck/transport/http1.py
@@ -0,0 +1,43 @@
+"""HTTP/1.1 messages as bytes: what both sides of an entry share."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+from http import HTTPStatus
+
+HeaderList = list[tuple[bytes, bytes]]
+
+BODYLESS = frozenset({204, 304})
+
+
+def render_head(start_line: bytes, headers: Iterable[tuple[bytes, bytes]]) -> bytes:
+    """Return a message head, up to and with the empty line."""
+    lines = [start_line, *(key + b": " + value for key, value in headers), b"", b""]
+    return b"\r\n".join(lines)
+
+
+def render_request(
+    method: bytes, target: bytes, headers: HeaderList, body: bytes
+) -> bytes:
+    r"""Return a whole request whose body has a stated length.
+
+    >>> render_request(b"GET", b"/a", [(b"Host", b"a.example")], b"")
+    b'GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n'
+    """
+    if body or method in (b"POST", b"PUT", b"PATCH"):
+        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
+    return render_head(method + b" " + target + b" HTTP/1.1", headers) + body
+
+
+def status_line(status: int, reason: bytes = b"") -> bytes:
+    """Return an answer's first line.
+
+    >>> status_line(404)
+    b'HTTP/1.1 404 Not Found'
+    """
+    if not reason:
+        try:
+            reason = HTTPStatus(status).phrase.encode()
+        except ValueError:
+            reason = b"Unknown"
+    return b"HTTP/1.1 " + str(status).encode() + b" " + reason
--- /dev/null
+++ b/src/masticdeck/transport/http1_client.py
@@ -0,0 +1,297 @@
+"""Connections to instances, one request at a time on each.
+
+aiohttp's client sends an idempotent request again by itself when a kept
+connection turns out to be closed, and does not show bytes that arrive outside
+an exchange. Both matter here, so the connection is built on a parser alone.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass
+from typing import Any, final
+
+import httptools
+
+from masticdeck.clock import boottime
+from masticdeck.transport.http1 import BODYLESS, HeaderList
+
+MAX_BUFFERED_BYTES = 262_144
+"""Unread body bytes at which a connection stops reading."""
+
+MAX_HEAD_BYTES = 65_536
+"""Longest head that an instance may send, in bytes."""
+
+UNACKED_MS = 2_000
+"""How long sent bytes may stay unacknowledged before the kernel gives up."""
+
+HeadFilter = Callable[[int, HeaderList], bool]
+
+
+class ExchangeBroken(Exception):
+    """The connection ended, or sent no valid answer, before the answer's end."""
+
+
+@final
+@dataclass(frozen=True, slots=True)
+class AnswerHead:
+    """Status and headers of an answer; ``length`` is None when not stated."""
+
+    status: int
+    reason: bytes
+    headers: HeaderList
+    length: int | None
+
+
+class InstanceConnection(asyncio.Protocol):
+    """One connection to an instance.
+
+    ``accepts`` decides on each answer head whether it answers the request just
+    sent; an answer that it rejects is read and dropped, and the connection is
+    not used again. ``unasked`` is called when bytes arrive outside an exchange.
+    """
+
+    def __init__(self) -> None:
+        self.transport: asyncio.Transport | None = None
+        self.loop = asyncio.get_running_loop()
+        self.closed = False
+        self.reusable = True
+        self.idle_since = boottime()
+        self.idle_limit_s: float | None = None
+        self.uses = 0
+        self.writable = asyncio.Event()
+        self.writable.set()
+        self.on_idle_end: Callable[[InstanceConnection], None] | None = None
+        self.end_exchange()
+
+    def end_exchange(self) -> None:
+        """Forget the exchange that has ended."""
+        self.busy = False
+        self.parser: Any = None
+        self.accepts: HeadFilter | None = None
+        self.head: asyncio.Future[AnswerHead] | None = None
+        self.chunks: deque[bytes] = deque()
+        self.buffered = 0
+        self.complete = False
+        self.error: ExchangeBroken | None = None
+        self.arrival: asyncio.Future[None] | None = None
+        self.dropping = False
+        self.until_close = False
+        self.status = 0
+        self.reason = b""
+        self.headers: HeaderList = []
+        self.head_bytes = 0
+        self.bodyless = False
+
+    # Exchange, called by one task at a time.
+
+    def begin(self, request: bytes, *, bodyless: bool, accepts: HeadFilter) -> None:
+        """Send a request; ``bodyless`` tells that no answer has a body."""
+        if self.closed or self.transport is None:
+            raise ExchangeBroken("the connection is closed")
+        self.end_exchange()
+        self.busy = True
+        self.uses += 1
+        self.bodyless = bodyless
+        self.accepts = accepts
+        self.parser = httptools.HttpResponseParser(self)
+        self.head = self.loop.create_future()
+        self.transport.write(request)
+
+    async def read_head(self) -> AnswerHead:
+        """Wait for the head of the answer."""
+        assert self.head is not None
+        return await self.head
+
+    async def read_chunk(self) -> bytes:
+        """Return the next part of the body, empty at its end."""
+        while not self.chunks:
+            if self.complete:
+                return b""
+            if self.error is not None:
+                raise self.error
+            self.arrival = self.loop.create_future()
+            await self.arrival
+        chunk = self.chunks.popleft()
+        self.buffered -= len(chunk)
+        if self.buffered < MAX_BUFFERED_BYTES and self.transport is not None:
+            self.transport.resume_reading()
+        return chunk
+
+    def finish(self) -> bool:
+        """End the exchange; return whether the connection may be used again."""
+        reusable = self.complete and self.reusable and not self.closed
+        self.end_exchange()
+        if not reusable:
+            self.close()
+        self.idle_since = boottime()
+        return reusable
+
+    def close(self) -> None:
+        """Close the connection, which also cancels what runs on it."""
+        self.closed = True
+        if self.transport is not None:
+            self.transport.abort()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over a connected socket."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived."""
+        if not self.busy or self.complete:
+            self.drop_unasked()
+            return
+        if self.head is not None and not self.head.done():
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except (httptools.HttpParserError, httptools.HttpParserUpgrade) as error:
+            self.fail(f"not an HTTP answer: {error}")
+        if self.head_bytes > MAX_HEAD_BYTES and not self.head_ready:
+            self.fail("the head of the answer is too long")
+        if self.buffered >= MAX_BUFFERED_BYTES and self.transport is not None:
+            self.transport.pause_reading()
+
+    @property
+    def head_ready(self) -> bool:
+        """Return whether the answer's head has arrived."""
+        return self.head is not None and self.head.done()
+
+    def eof_received(self) -> bool:
+        """Take an orderly end for the end of an answer without a length."""
+        if self.busy and self.until_close and self.error is None:
+            self.complete = True
+            self.reusable = False
+            self.wake()
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Fail the exchange that is not complete."""
+        self.closed = True
+        if self.busy and not self.complete:
+            self.fail("the connection ended" if exc is None else str(exc))
+        elif not self.busy and self.on_idle_end is not None:
+            self.on_idle_end(self)
+
+    def pause_writing(self) -> None:
+        """Note that the send buffer is full."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the send buffer has drained."""
+        self.writable.set()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a head; a second message in an exchange is not asked for."""
+        if self.complete:
+            self.reusable = False
+            return
+        self.headers = []
+
+    def on_status(self, status: bytes) -> None:
+        """Take the reason phrase."""
+        self.reason = status
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header, but no trailer."""
+        if not self.head_ready:
+            self.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Pass the head on when it answers this exchange's request."""
+        if self.complete or self.head is None or self.head.done():
+            return
+        status = self.parser.get_status_code()
+        if status < 200:
+            return
+        if self.accepts is not None and not self.accepts(status, self.headers):
+            self.dropping = True
+            self.reusable = False
+            return
+        length = stated_length(self.headers)
+        chunked = is_chunked(self.headers)
+        empty = self.bodyless or status in BODYLESS
+        self.until_close = length is None and not chunked and not empty
+        if not self.parser.should_keep_alive() or self.until_close:
+            self.reusable = False
+        self.head.set_result(AnswerHead(status, self.reason, self.headers, length))
+        if self.bodyless:
+            self.reusable = self.reusable and not length and not chunked
+            self.complete = True
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body."""
+        if self.dropping or self.complete:
+            return
+        self.chunks.append(body)
+        self.buffered += len(body)
+        self.wake()
+
+    def on_message_complete(self) -> None:
+        """End the exchange, or a dropped answer."""
+        if self.dropping:
+            self.dropping = False
+            return
+        if self.head_ready:
+            self.complete = True
+            self.wake()
+
+    # Ends
+
+    def wake(self) -> None:
+        """Let a waiting reader go on."""
+        if self.arrival is not None and not self.arrival.done():
+            self.arrival.set_result(None)
+
+    def fail(self, reason: str) -> None:
+        """End the exchange with an error and close."""
+        if self.error is None and not self.complete:
+            self.error = ExchangeBroken(reason)
+            if self.head is not None and not self.head.done():
+                self.head.set_exception(self.error)
+                self.head.exception()
+            self.wake()
+        self.reusable = False
+        self.close()
+
+    def drop_unasked(self) -> None:
+        """Close a connection on which bytes arrived that nobody asked for."""
+        self.reusable = False
+        self.close()
+
+
+def stated_length(headers: HeaderList) -> int | None:
+    """Return the Content-Length, None when there is none."""
+    for key, value in headers:
+        if key.lower() == b"content-length" and value.strip().isdigit():
+            return int(value)
+    return None
+
+
+def is_chunked(headers: HeaderList) -> bool:
+    """Return whether the body comes in chunks."""
+    return any(
+        key.lower() == b"transfer-encoding" and b"chunked" in value.lower()
+        for key, value in headers
+    )
+
+
+async def connect(host: str, port: int, *, timeout_s: float) -> InstanceConnection:
+    """Open a connection; raises OSError or TimeoutError."""
+    loop = asyncio.get_running_loop()
+    async with asyncio.timeout(timeout_s):
+        _, connection = await loop.create_connection(InstanceConnection, host, port)
+    return connection
--- /dev/null
+++ b/src/masticdeck/transport/http1_server.py
@@ -0,0 +1,420 @@
+"""Callers' connections: requests are read ahead and answered in order.
+
+The limits of a connection follow the configuration in force, a caller's
+leaving cancels the request being handled, and an answer that is cut short
+always ends in a reset. aiohttp's server fixes its limits at start and does not
+tell a request that was read from one that was not.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections import deque
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any, final
+
+import httptools
+
+from masticdeck.clock import boottime
+from masticdeck.state.routes import CallerLimits
+from masticdeck.transport.http1 import (
+    BODYLESS,
+    HeaderList,
+    render_head,
+    status_line,
+)
+
+MAX_READ_AHEAD = 32
+"""Requests read ahead on one connection before it stops reading."""
+
+LINGER_S = 1.0
+"""How long the rest of a rejected request is read before the connection closes."""
+
+TICK_S = 0.5
+"""Seconds between checks of a connection's time limits."""
+
+CLOSING_IDLE_S = 1.0
+"""Idle time after which a connection is closed while the server stops."""
+
+BACKLOG = 1024
+"""Connections that may wait to be accepted."""
+
+
+@final
+@dataclass(slots=True, eq=False)
+class InboundRequest:
+    """A request read whole from a caller's connection.
+
+    ``target`` is the path with its query, as sent. ``received_at`` is the boot
+    time in seconds at which its first byte arrived.
+    """
+
+    connection: CallerConnection
+    method: bytes = b""
+    target: bytes = b""
+    headers: HeaderList = field(default_factory=list)
+    body: bytes = b""
+    received_at: float = 0.0
+    keep_alive: bool = True
+    reject_status: int = 0
+
+
+Handler = Callable[[InboundRequest], Awaitable[None]]
+Limits = Callable[[], CallerLimits]
+
+
+class CallerConnection(asyncio.Protocol):
+    """One connection of a caller."""
+
+    def __init__(self, server: CallerServer) -> None:
+        self.server = server
+        self.loop = asyncio.get_running_loop()
+        self.transport: asyncio.Transport | None = None
+        self.parser: Any = httptools.HttpRequestParser(self)
+        self.reading: InboundRequest | None = None
+        self.parts: list[bytes] = []
+        self.body_bytes = 0
+        self.head_bytes = 0
+        self.head_done = False
+        self.waiting: deque[InboundRequest] = deque()
+        self.worker: asyncio.Task[None] | None = None
+        self.answering = False
+        self.begun = False
+        self.chunked = False
+        self.last_answer = False
+        self.discarding = False
+        self.closed = False
+        self.active_at = boottime()
+        self.writable = asyncio.Event()
+        self.writable.set()
+
+    # asyncio.Protocol
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over an accepted socket."""
+        assert isinstance(transport, asyncio.Transport)
+        self.transport = transport
+        self.server.connections.add(self)
+        sock = transport.get_extra_info("socket")
+        if sock is not None:
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse what arrived, up to the limits in force."""
+        if self.discarding:
+            return
+        self.active_at = boottime()
+        if not self.head_done:
+            self.head_bytes += len(data)
+        try:
+            self.parser.feed_data(data)
+        except httptools.HttpParserUpgrade:
+            self.reject(400)
+        except (httptools.HttpParserError, httptools.HttpParserCallbackError):
+            self.reject(400)
+        long_head = self.head_bytes > self.limits.max_header_bytes
+        if long_head and not self.head_done and self.reading is not None:
+            self.reject(431)
+        if len(self.waiting) >= MAX_READ_AHEAD and self.transport is not None:
+            self.transport.pause_reading()
+
+    def eof_received(self) -> bool:
+        """Treat a closed sending side as the caller's leaving."""
+        return False
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Cancel what is done for the caller."""
+        self.closed = True
+        self.writable.set()
+        self.server.connections.discard(self)
+        self.waiting.clear()
+        if self.worker is not None:
+            self.worker.cancel()
+
+    def pause_writing(self) -> None:
+        """Note that the send buffer is full."""
+        self.writable.clear()
+
+    def resume_writing(self) -> None:
+        """Note that the send buffer has drained."""
+        self.writable.set()
+
+    # httptools callbacks
+
+    def on_message_begin(self) -> None:
+        """Start a request."""
+        self.reading = InboundRequest(self, received_at=boottime())
+        self.parts = []
+        self.body_bytes = 0
+        self.head_done = False
+
+    def on_url(self, url: bytes) -> None:
+        """Take a part of the request target."""
+        if self.reading is not None:
+            self.reading.target += url
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        """Take a header, but no trailer."""
+        if self.reading is not None and not self.head_done:
+            self.reading.headers.append((name, value))
+
+    def on_headers_complete(self) -> None:
+        """Check the head against the limits."""
+        request = self.reading
+        if request is None:
+            return
+        self.head_done = True
+        request.method = self.parser.get_method()
+        request.keep_alive = self.parser.should_keep_alive()
+        size = len(request.target) + sum(
+            len(name) + len(value) + 4 for name, value in request.headers
+        )
+        if size > self.limits.max_header_bytes:
+            self.reject(431)
+            return
+        for name, value in request.headers:
+            lower = name.lower()
+            if lower == b"content-length" and int(value) > self.limits.max_body_bytes:
+                self.reject(413)
+            elif lower == b"expect" and value.lower() == b"100-continue":
+                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+
+    def on_body(self, body: bytes) -> None:
+        """Keep a part of the body, up to the limit."""
+        if self.reading is None:
+            return
+        self.body_bytes += len(body)
+        if self.body_bytes > self.limits.max_body_bytes:
+            self.reject(413)
+            return
+        self.parts.append(body)
+
+    def on_message_complete(self) -> None:
+        """Queue the request for its turn."""
+        request, self.reading = self.reading, None
+        self.head_bytes = 0
+        self.head_done = False
+        if request is None:
+            return
+        request.body = b"".join(self.parts)
+        self.parts = []
+        self.queue(request)
+
+    # Requests in turn
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the limits in force."""
+        return self.server.limits()
+
+    def queue(self, request: InboundRequest) -> None:
+        """Let the worker answer a request after those before it."""
+        if self.last_answer:
+            return
+        self.waiting.append(request)
+        if self.worker is None:
+            self.worker = self.loop.create_task(self.work())
+
+    def reject(self, status: int) -> None:
+        """Answer with an error in turn, and read no further requests."""
+        request = self.reading or InboundRequest(self, received_at=boottime())
+        self.reading = None
+        self.discarding = True
+        request.reject_status = status
+        self.queue(request)
+
+    async def work(self) -> None:
+        """Answer the queued requests one after the other."""
+        try:
+            while self.waiting and not self.closed:
+                request = self.waiting.popleft()
+                if self.transport is not None and not self.closed:
+                    self.transport.resume_reading()
+                await self.answer(request)
+                if self.last_answer or request.reject_status:
+                    await self.close_after_answer()
+                    return
+                self.active_at = boottime()
+        finally:
+            self.worker = None
+
+    async def answer(self, request: InboundRequest) -> None:
+        """Answer one request."""
+        self.answering, self.begun = True, False
+        self.server.in_flight += 1
+        try:
+            if request.reject_status:
+                self.send_whole(request.reject_status, [], b"", last=True)
+            else:
+                self.last_answer = not request.keep_alive
+                await self.server.handler(request)
+        except ConnectionError:
+            self.abort()
+        finally:
+            self.server.in_flight -= 1
+            self.answering = False
+
+    async def close_after_answer(self) -> None:
+        """Close once the answer is out, without resetting it."""
+        await self.writable.wait()
+        if self.discarding:
+            await asyncio.sleep(LINGER_S)
+        if self.transport is not None:
+            self.transport.close()
+
+    # Answers, called by the handler
+
+    def send_whole(
+        self,
+        status: int,
+        headers: HeaderList,
+        body: bytes,
+        *,
+        reason: bytes = b"",
+        last: bool = False,
+        body_length: int | None = None,
+    ) -> None:
+        """Send a complete answer; ``body_length`` replaces that of the body."""
+        length = len(body) if body_length is None else body_length
+        fields = list(headers)
+        if status not in BODYLESS:
+            fields.append((b"Content-Length", str(length).encode()))
+        self.begun = True
+        self.write(render_head(status_line(status, reason), self.ended(fields, last)))
+        if body:
+            self.write(body)
+
+    def start_stream(
+        self,
+        status: int,
+        headers: HeaderList,
+        *,
+        reason: bytes = b"",
+        length: int | None,
+        last: bool = False,
+    ) -> None:
+        """Send the head of an answer whose body follows in parts."""
+        fields = list(headers)
+        self.chunked = length is None
+        if length is None:
+            fields.append((b"Transfer-Encoding", b"chunked"))
+        else:
+            fields.append((b"Content-Length", str(length).encode()))
+        self.begun = True
+        self.write(render_head(status_line(status, reason), self.ended(fields, last)))
+
+    async def send_part(self, data: bytes) -> None:
+        """Send a part of the body and wait while the caller reads slowly."""
+        if self.chunked:
+            data = b"%x\r\n%b\r\n" % (len(data), data)
+        self.write(data)
+        await self.writable.wait()
+
+    def end_stream(self) -> None:
+        """End a streamed body."""
+        if self.chunked:
+            self.write(b"0\r\n\r\n")
+
+    def ended(self, headers: HeaderList, last: bool) -> HeaderList:
+        """Return headers that tell whether the connection ends."""
+        if last or self.server.closing:
+            self.last_answer = True
+        if self.last_answer:
+            headers.append((b"Connection", b"close"))
+        return headers
+
+    def write(self, data: bytes) -> None:
+        """Write to the caller unless it has left."""
+        if self.closed or self.transport is None:
+            raise ConnectionResetError("the caller has left")
+        self.transport.write(data)
+
+    def abort(self) -> None:
+        """Reset the connection, so that a cut answer does not look complete."""
+        self.last_answer = True
+        if self.transport is not None and not self.closed:
+            self.transport.abort()
+
+    # Limits in time
+
+    def check_time(self, now: float) -> None:
+        """Close an idle connection; reject a request that arrives too slowly."""
+        if self.answering or self.waiting or self.discarding:
+            return
+        request = self.reading
+        if request is not None:
+            if not self.head_done:
+                if now - request.received_at > self.limits.header_timeout_s:
+                    self.reject(408)
+            elif now - self.active_at > self.limits.idle_timeout_s:
+                self.reject(408)
+        elif now - self.active_at > self.limits.idle_timeout_s:
+            self.close_idle()
+
+    def close_idle(self) -> None:
+        """Close a connection on which nothing is under way."""
+        idle = not self.answering and not self.waiting and self.reading is None
+        if idle and self.transport is not None:
+            self.transport.close()
+
+
+class CallerServer:
+    """Accepts callers' connections.
+
+    ``handler`` answers each request through its connection; ``limits`` returns
+    the limits in force.
+    """
+
+    def __init__(self, host: str, port: int, handler: Handler, limits: Limits) -> None:
+        self.host = host
+        self.port = port
+        self.handler = handler
+        self.limits = limits
+        self.connections: set[CallerConnection] = set()
+        self.in_flight = 0
+        self.closing = False
+        self.server: asyncio.Server | None = None
+        self.ticker: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen on the address."""
+        loop = asyncio.get_running_loop()
+        self.server = await loop.create_server(
+            lambda: CallerConnection(self), self.host, self.port, backlog=BACKLOG
+        )
+        if self.port == 0:
+            self.port = self.server.sockets[0].getsockname()[1]
+        self.ticker = asyncio.create_task(self.tick())
+
+    async def stop(self) -> None:
+        """Stop listening and close every connection."""
+        self.stop_listening()
+        if self.ticker is not None:
+            self.ticker.cancel()
+        for connection in list(self.connections):
+            if connection.transport is not None:
+                connection.transport.close()
+
+    def begin_close(self) -> None:
+        """Let each answer end its connection, and close those without work."""
+        self.closing = True
+        for connection in list(self.connections):
+            connection.close_idle()
+
+    def stop_listening(self) -> None:
+        """Accept no further connections."""
+        if self.server is not None:
+            self.server.close()
+            self.server = None
+
+    async def tick(self) -> None:
+        """Apply the time limits."""
+        while True:
+            await asyncio.sleep(TICK_S)
+            now = boottime()
+            for connection in list(self.connections):
+                connection.check_time(now)
+                if self.closing and now - connection.active_at > CLOSING_IDLE_S:
+                    connection.close_idle()
