--- a/deploy/run.py
+++ b/deploy/run.py
@@ -7,6 +7,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from masticdeck.programs.gateway import main  # noqa: E402
+from masticdeck.programs.gateway import main
 
 main()
--- a/src/masticdeck/coordination/health.py
+++ b/src/masticdeck/coordination/health.py
@@ -12,10 +12,12 @@
 import random
 from collections import defaultdict
 from dataclasses import dataclass
-from typing import final
+from typing import TYPE_CHECKING, final
 
 from masticdeck.ids import InstanceId, ServiceId
-from masticdeck.state.deployment import Instance
+
+if TYPE_CHECKING:
+    from masticdeck.state.deployment import Instance
 
 FAILURES_TO_EJECT = 3
 MOST_EJECTED = 0.34
--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -115,4 +115,4 @@
     Source: Thaler and Ravishankar, "Using name-based mappings to increase hit
     rates", 1998.
     """
-    return xxhash.xxh64_intdigest(f"{key}/{instance}")
+    return xxhash.xxh64_intdigest(f"{key}/{instance}".encode())
--- a/src/masticdeck/programs/gateway.py
+++ b/src/masticdeck/programs/gateway.py
@@ -22,7 +22,7 @@
         cappa.Arg(
             short="-s",
             long="--settings",
-            help="settings file of the platform (YAML); else the one in the environment",
+            help="settings file (YAML); without it, the one in the environment",
         ),
     ] = None
     check_settings: Annotated[
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -12,7 +12,7 @@
 from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any, final
+from typing import Any, cast, final
 
 import httptools
 
@@ -140,8 +140,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over a connected socket."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        # uvloop's transports are not subclasses of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -13,7 +13,7 @@
 from collections import deque
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
-from typing import Any, final
+from typing import Any, cast, final
 
 import httptools
 
@@ -94,8 +94,8 @@
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Take over an accepted socket."""
-        assert isinstance(transport, asyncio.Transport)
-        self.transport = transport
+        # uvloop's transports are not subclasses of asyncio's.
+        self.transport = cast(asyncio.Transport, transport)
         self.server.connections.add(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
