Follow the store through two watchers a region, and reload settings

Change: a stream of records between entries, two watchers a region; settings reloaded on SIGHUP and on a changed file; the socket's error decides about an answer without length. Tests for the adapter, with a stand-in of the store.

--- a/src/masticdeck/application.py
+++ b/src/masticdeck/application.py
@@ -28,7 +28,8 @@
     Components start in the order in which they were added and stop in the
     reverse order. A component that fails to stop, or takes longer than
     ``COMPONENT_STOP_S`` seconds, is logged, and the others are still stopped.
-    ``before_stop`` holds what a planned stop does first.
+    ``before_stop`` holds what a planned stop does first, ``on_reload`` what is
+    done when the settings have changed.
     """
 
     def __init__(self, events: EventLog) -> None:
@@ -36,6 +37,7 @@
         self.components: list[Component] = []
         self.started: list[Component] = []
         self.before_stop: list[Callable[[], Awaitable[None]]] = []
+        self.on_reload: list[Callable[[], None]] = []
 
     def add(self, component: Component) -> None:
         """Append a component."""
@@ -57,6 +59,11 @@
         for hook in self.before_stop:
             await hook()
 
+    def reload(self) -> None:
+        """Let the components take in changed settings."""
+        for hook in self.on_reload:
+            hook()
+
     async def stop(self) -> None:
         """Stop the started components in reverse order."""
         self.events.emit(Code.PROCESS_STOPPING)
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -95,8 +95,8 @@
 
     def is_behind(self, ticket: Ticket) -> bool:
         """Return whether a more urgent request waits for the same service."""
-        waiting = self.waiting.get(ticket.service)
-        return bool(waiting) and min(one.order for one in waiting) < ticket.order
+        waiting = self.waiting.get(ticket.service, [])
+        return any(one.order < ticket.order for one in waiting)
 
     async def wait(self, ticket: Ticket, until: float) -> FleetInstance:
         """Queue a request until it gets room."""
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -21,14 +21,20 @@
 from masticdeck.ids import Revision
 from masticdeck.protocol.store import Change, KeyValue, Store
 
-WATCH_WAIT_S = 2.0
-"""Longest wait of a watch; a silent connection shows after this and a timeout."""
+WATCH_WAIT_S = 1.0
+"""Longest wait of a watch, so that the age of the copy stays near a second."""
 
 PACE_S = 0.4
 """Least seconds between two answers of a watch, so that changes are batched."""
 
 RETRY_S = 0.3
-"""Seconds between attempts while the store does not answer."""
+"""Seconds before the second attempt while the store does not answer."""
+
+MOST_RETRY_S = 1.0
+"""Longest wait between attempts; each doubles the one before."""
+
+UNWANTED_CHECK_S = 0.2
+"""Seconds between checks of an entry that leaves following to others."""
 
 OUTAGE_S = 2.5
 """Time without contact after which records may have lapsed meanwhile."""
@@ -76,6 +82,30 @@
         self.recent_from = Revision(0)
         self.confirmed_at = float("-inf")
         self.restored_at = float("-inf")
+        self.waiters: set[asyncio.Future[None]] = set()
+
+    async def wait_newer(self, revision: Revision, timeout_s: float) -> None:
+        """Return when the copy is newer than ``revision``, or after a time."""
+        if self.revision > revision:
+            return
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except TimeoutError:
+            return
+        finally:
+            self.waiters.discard(waiter)
+
+    def advance(self, revision: Revision) -> None:
+        """Note that the copy has every change up to ``revision``."""
+        if revision <= self.revision:
+            return
+        self.revision = revision
+        for waiter in self.waiters:
+            if not waiter.done():
+                waiter.set_result(None)
 
     def age_s(self, now: float) -> float:
         """Return the seconds since the copy was last known to be current."""
@@ -102,7 +132,7 @@
             self.apply(Change(key, None, revision))
         for item in listed.values():
             self.apply(Change(item.key, item.value, item.revision))
-        self.revision = max(self.revision, revision)
+        self.advance(revision)
         self.recent.clear()
         self.recent_from = self.revision
 
@@ -110,7 +140,7 @@
         """Take the changes up to ``revision``."""
         for change in changes:
             self.apply(change)
-        self.revision = max(self.revision, revision)
+        self.advance(revision)
 
     def apply(self, change: Change) -> None:
         """Take one change unless a newer one of its key is known."""
@@ -144,8 +174,9 @@
 
     def take_part(self, part: FeedPart, now: float) -> None:
         """Take records from another entry's copy."""
+        current = part.revision >= self.revision
         if part.whole:
-            if part.revision >= self.revision:
+            if current:
                 items = [
                     KeyValue(one.key, one.value, one.revision)
                     for one in part.changes
@@ -154,7 +185,7 @@
                 self.replace(items, part.revision)
         else:
             self.extend(part.changes, part.revision)
-        if part.revision >= self.revision:
+        if current:
             self.confirm(now - part.age_s, now)
 
 
@@ -175,6 +206,7 @@
         self.wanted = wanted
         self.listed = False
         self.failing = False
+        self.retry_s = RETRY_S
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -190,20 +222,23 @@
         """Follow for as long as the process runs, through every failure."""
         while True:
             try:
+                if not self.wanted() and self.copy.confirmed_at > 0:
+                    self.failing = False
+                    await asyncio.sleep(UNWANTED_CHECK_S)
+                    continue
                 began = boottime()
                 await self.step()
-                self.failing = False
+                self.failing, self.retry_s = False, RETRY_S
                 await asyncio.sleep(max(0.0, PACE_S - (boottime() - began)))
             except StoreHistoryLost:
                 self.listed = False
             except MasticdeckError as error:
                 self.note_failure(error)
-                await asyncio.sleep(RETRY_S)
+                await asyncio.sleep(self.retry_s)
+                self.retry_s = min(MOST_RETRY_S, 2 * self.retry_s)
 
     async def step(self) -> None:
         """Make one call and take in its answer."""
-        if not self.wanted():
-            return
         sent = boottime()
         if not self.listed:
             listing = await self.store.list("")
--- /dev/null
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -0,0 +1,220 @@
+"""Copies of the platform's records passed between entries.
+
+Only ``WATCHERS_PER_REGION`` entries of a region follow the store; the others
+follow one of them, so that the store's load does not grow with the fleet. An
+entry that loses its source takes another one: a watcher of its region first,
+then any entry. The same way serves a watcher that the store turns away.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from typing import TYPE_CHECKING
+
+import xxhash
+from grpclib.client import Channel
+from grpclib.exceptions import GRPCError, StreamTerminatedError
+
+from masticdeck.clock import boottime
+from masticdeck.coordination.feed import FeedPart, RecordCopy, StoreFeed
+from masticdeck.events import Code, EventLog
+from masticdeck.ids import EntryId, Revision
+from masticdeck.protocol.generated.feed_grpc import FeedBase, FeedStub
+from masticdeck.protocol.generated.feed_pb2 import (
+    FeedPartMessage,
+    FeedRecord,
+    FeedRequest,
+)
+from masticdeck.protocol.store import Change
+from masticdeck.state.fleet import Fleet, FleetEntry
+
+if TYPE_CHECKING:
+    from grpclib.server import Stream
+
+WATCHERS_PER_REGION = 2
+"""Entries of a region that follow the store: one may fail unnoticed."""
+
+KEEP_ALIVE_S = 0.3
+"""Seconds between parts of a stream when nothing changes."""
+
+SILENCE_S = 0.9
+"""Silence after which a follower takes another source: three parts lost."""
+
+CHECK_S = 0.2
+"""Seconds between checks whether another entry's copy is needed."""
+
+OLDEST_PART_S = 4.0
+"""Age of a copy from which another source is tried."""
+
+PEER_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
+
+
+class Watchers:
+    """Decides which entries follow the store themselves.
+
+    Every entry ranks those of its region by a hash, so that all that know the
+    same entries choose the same watchers without asking.
+    """
+
+    def __init__(self, fleet: Fleet, own: FleetEntry) -> None:
+        self.fleet = fleet
+        self.own = own
+
+    def of_region(self) -> list[EntryId]:
+        """Return the watchers of this entry's region, the first one first."""
+        region_of = self.fleet.region_of
+        region = region_of[self.own.zone]
+        entries = {
+            one.id
+            for one in self.fleet.entries.values()
+            if region_of.get(one.zone) == region
+        }
+        entries.add(self.own.id)
+        ranked = sorted(entries, key=lambda one: xxhash.xxh64_intdigest(one.encode()))
+        return ranked[:WATCHERS_PER_REGION]
+
+    def includes_own(self) -> bool:
+        """Return whether this entry is one of them."""
+        return self.own.id in self.of_region()
+
+
+class FeedService(FeedBase):
+    """Sends this entry's copy to those that follow it."""
+
+    def __init__(self, copy: RecordCopy) -> None:
+        self.copy = copy
+
+    async def Follow(  # noqa: N802
+        self, stream: Stream[FeedRequest, FeedPartMessage]
+    ) -> None:
+        """Send parts until the follower leaves."""
+        request = await stream.recv_message()
+        sent = Revision(0 if request is None else request.revision)
+        while True:
+            part = self.copy.part_after(sent, boottime())
+            await stream.send_message(encode_part(part))
+            sent = part.revision
+            await self.copy.wait_newer(sent, KEEP_ALIVE_S)
+
+
+class PeerFeed:
+    """Follows another entry's copy while this entry does not follow the store."""
+
+    def __init__(
+        self,
+        copy: RecordCopy,
+        store_feed: StoreFeed,
+        watchers: Watchers,
+        events: EventLog,
+        *,
+        seed: int | None = None,
+    ) -> None:
+        self.copy = copy
+        self.store_feed = store_feed
+        self.watchers = watchers
+        self.events = events
+        self.random = random.Random(seed)
+        self.last: EntryId | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to look whether another entry's copy is needed."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End following."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        """Follow one source after the other while that is needed."""
+        while True:
+            source = self.choose_source() if self.is_needed() else None
+            if source is not None:
+                await self.follow(source)
+            await asyncio.sleep(CHECK_S)
+
+    def is_needed(self) -> bool:
+        """Return whether the store does not serve this entry itself."""
+        return self.store_feed.failing or not self.store_feed.wanted()
+
+    def choose_source(self) -> FleetEntry | None:
+        """Return a watcher of the region, or another entry, but not the last one."""
+        entries = self.watchers.fleet.entries
+        others = [one for one in entries if one != self.watchers.own.id]
+        fresh = [one for one in others if one != self.last] or others
+        near = [one for one in self.watchers.of_region() if one in fresh]
+        chosen = near or fresh
+        return entries[self.random.choice(chosen)] if chosen else None
+
+    async def follow(self, source: FleetEntry) -> None:
+        """Follow one source until it fails or is no longer needed."""
+        self.last = source.id
+        channel = Channel(source.peer_host, source.peer_port)
+        self.events.emit(
+            Code.FEED_FOLLOWING, source=source.id, revision=self.copy.revision
+        )
+        try:
+            await self.receive(channel)
+        except PEER_ERRORS as error:
+            self.events.emit(
+                Code.FEED_FAILED,
+                level=logging.WARNING,
+                source=source.id,
+                error=type(error).__name__,
+                detail=error,
+                revision=self.copy.revision,
+                age_s=round(self.copy.age_s(boottime()), 3),
+            )
+        finally:
+            channel.close()
+
+    async def receive(self, channel: Channel) -> None:
+        """Take in the parts of one stream."""
+        async with FeedStub(channel).Follow.open() as stream:
+            async with asyncio.timeout(SILENCE_S):
+                await stream.send_message(
+                    FeedRequest(revision=self.copy.revision), end=True
+                )
+            while self.is_needed():
+                async with asyncio.timeout(SILENCE_S):
+                    message = await stream.recv_message()
+                if message is None:
+                    return
+                part = decode_part(message)
+                self.copy.take_part(part, boottime())
+                if part.age_s > OLDEST_PART_S:
+                    return
+            await stream.cancel()
+
+
+def encode_part(part: FeedPart) -> FeedPartMessage:
+    """Return the message of a part."""
+    records = [
+        FeedRecord(
+            key=one.key,
+            value=b"" if one.value is None else one.value,
+            revision=one.revision,
+            deleted=one.value is None,
+        )
+        for one in part.changes
+    ]
+    return FeedPartMessage(
+        whole=part.whole,
+        records=records,
+        revision=part.revision,
+        age_ms=round(min(part.age_s, 1e6) * 1000),
+    )
+
+
+def decode_part(message: FeedPartMessage) -> FeedPart:
+    """Return the part of a message."""
+    changes = tuple(
+        Change(one.key, None if one.deleted else one.value, Revision(one.revision))
+        for one in message.records
+    )
+    return FeedPart(
+        message.whole, changes, Revision(message.revision), message.age_ms / 1000
+    )
--- a/src/masticdeck/coordination/retries.py
+++ b/src/masticdeck/coordination/retries.py
@@ -8,6 +8,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from masticdeck.ids import ServiceId
 
 EARNED = 0.06
@@ -51,3 +53,40 @@
             return False
         self.saved[service] = saved - 1.0
         return True
+
+
+SHARED_PART = 0.7
+"""Part of the allowed repeats that is used, as entries learn late of each other."""
+
+
+class SharedBudget(RetryBudget):
+    """This entry's part of the repeats that all entries may send together.
+
+    In any window all entries may repeat ``ratio`` times the requests plus
+    ``slack``. Each saves at most its part of the slack, so that the sum holds
+    whichever entries the requests come to.
+
+    >>> budget = SharedBudget(ratio=0.2, slack=60, entries=lambda: 6)
+    >>> service = ServiceId("katalogs")
+    >>> for _ in range(1000):
+    ...     budget.earn(service)
+    >>> sum(budget.spend(service) for _ in range(1000))
+    7
+    """
+
+    def __init__(
+        self, *, ratio: float, slack: float, entries: Callable[[], int]
+    ) -> None:
+        super().__init__()
+        self.entries = entries
+        self.allow(ratio=ratio, slack=slack)
+
+    def allow(self, *, ratio: float, slack: float) -> None:
+        """Take over changed bounds."""
+        self.earned = SHARED_PART * ratio
+        self.slack = SHARED_PART * slack
+
+    def earn(self, service: ServiceId) -> None:
+        """Count a first attempt."""
+        self.most_saved = max(1.0, self.slack / max(1, self.entries()))
+        super().earn(service)
--- a/src/masticdeck/coordination/roster.py
+++ b/src/masticdeck/coordination/roster.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.fleet_view import ENTRY_PREFIX, encode_entry
@@ -22,6 +23,9 @@
 RENEW_S = 1.2
 """Seconds between renewals: two may be lost before the lease ends."""
 
+UNLISTED_RENEWALS = 2
+"""Renewals after which a record that nobody sees is written anew."""
+
 RETRY_S = 0.3
 """Seconds between attempts while the store does not answer."""
 
@@ -29,7 +33,15 @@
 class Roster:
     """Keeps this entry registered while it takes requests."""
 
-    def __init__(self, store: Store, entry: FleetEntry, events: EventLog) -> None:
+    def __init__(
+        self,
+        store: Store,
+        entry: FleetEntry,
+        events: EventLog,
+        *,
+        listed: Callable[[], bool] = lambda: True,
+    ) -> None:
+        self.listed = listed
         self.store = store
         self.entry = entry
         self.events = events
@@ -83,12 +95,16 @@
         """Renew the lease until it has ended."""
         assert self.lease is not None
         renewed_at = boottime()
+        unlisted = 0
         while boottime() - renewed_at < LEASE_S:
             await asyncio.sleep(RENEW_S)
             sent = boottime()
             try:
                 await self.store.renew_lease(self.lease)
                 renewed_at = sent
+                unlisted = 0 if self.listed() else unlisted + 1
+                if unlisted > UNLISTED_RENEWALS:
+                    return
             except StoreConflict:
                 return
             except MasticdeckError:
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
@@ -12,10 +13,11 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.dispatch import Dispatcher
 from masticdeck.coordination.feed import RecordCopy, StoreFeed
+from masticdeck.coordination.feed_peers import FeedService, PeerFeed, Watchers
 from masticdeck.coordination.fleet_view import FleetView
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.placement import Placement
-from masticdeck.coordination.retries import RetryBudget
+from masticdeck.coordination.retries import SharedBudget
 from masticdeck.coordination.room import Rooms
 from masticdeck.coordination.roster import Roster
 from masticdeck.events import Code, EventLog
@@ -30,6 +32,7 @@
 from masticdeck.state.routes import CallerLimits
 from masticdeck.transport.http1_server import CallerServer, InboundRequest
 from masticdeck.transport.instance_pool import InstancePool
+from masticdeck.transport.peers import PeerServer
 
 ACCEPT_AFTER_STOP_S = 2.5
 """How long callers with an older directory answer are still served."""
@@ -40,9 +43,6 @@
 STOP_POLL_S = 0.05
 """Seconds between checks whether the last request has ended."""
 
-BUDGET_PART = 0.7
-"""Part of the allowed repeats that entries use, as they do not ask each other."""
-
 Answer = Callable[[InboundRequest], Awaitable[None]]
 
 
@@ -81,7 +81,6 @@
         self.fleet = Fleet(dict(settings.region_of))
         self.view = FleetView(self.fleet, platform.decoder, events)
         self.copy = RecordCopy(self.view)
-        self.feed = StoreFeed(platform.store, self.copy, events)
         self.own = FleetEntry(
             id=settings.entry,
             zone=settings.zone,
@@ -90,17 +89,35 @@
             peer_port=settings.peer.port,
             incarnation=time.time_ns(),
         )
+        self.watchers = Watchers(self.fleet, self.own)
+        self.feed = StoreFeed(
+            platform.store, self.copy, events, wanted=self.watchers.includes_own
+        )
+        self.peer_feed = PeerFeed(self.copy, self.feed, self.watchers, events)
+        self.peer_server = PeerServer(
+            settings.peer.host, settings.peer.port, [FeedService(self.copy)]
+        )
         self.directory = Directory(self.fleet, self.own)
-        self.roster = Roster(platform.store, self.own, events)
+        self.roster = Roster(
+            platform.store,
+            self.own,
+            events,
+            listed=lambda: settings.entry in self.fleet.entries,
+        )
         self.rooms = Rooms()
         self.health = Health()
         self.pool = InstancePool()
+        self.budget = SharedBudget(
+            ratio=settings.retry_ratio,
+            slack=settings.retry_slack,
+            entries=self.count_entries,
+        )
         self.dispatcher = Dispatcher(
             self.fleet,
             Placement(self.fleet, zone=settings.zone),
             self.rooms,
             self.health,
-            entries=lambda: len(self.directory.entries()),
+            entries=self.count_entries,
         )
         self.forwarder = Forwarder(
             fleet=self.fleet,
@@ -109,7 +126,7 @@
             dispatcher=self.dispatcher,
             rooms=self.rooms,
             health=self.health,
-            budget=RetryBudget(earned=BUDGET_PART * settings.retry_ratio),
+            budget=self.budget,
             pool=self.pool,
             events=events,
             metrics=metrics,
@@ -129,6 +146,8 @@
             store,
             self.pool,
             self.feed,
+            self.peer_server,
+            self.peer_feed,
             self.callers,
             serve_on(self.settings.readiness, endpoints.readiness),
             serve_on(self.settings.directory, endpoints.lookup),
@@ -140,6 +159,22 @@
             application.add(component)
         return application
 
+    def count_entries(self) -> int:
+        """Return how many entries take requests."""
+        return len(self.directory.entries())
+
+    def use_settings(self, settings: GatewaySettings) -> None:
+        """Take over changed settings; addresses change only with a restart."""
+        changed = [
+            name
+            for name in GatewaySettings.model_fields
+            if getattr(settings, name) != getattr(self.settings, name)
+        ]
+        self.settings = settings
+        self.budget.allow(ratio=settings.retry_ratio, slack=settings.retry_slack)
+        logging.getLogger().setLevel(settings.log_level.upper())
+        self.events.emit(Code.SETTINGS_RELOADED, changed=",".join(changed))
+
     async def leave(self) -> None:
         """Let callers move away and requests end before the process does."""
         began = boottime()
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -9,7 +9,7 @@
 from masticdeck.coordination.dispatch import Dispatcher, Ticket
 from masticdeck.coordination.feed import RecordCopy
 from masticdeck.coordination.health import Health
-from masticdeck.coordination.retries import RetryBudget
+from masticdeck.coordination.retries import SharedBudget
 from masticdeck.coordination.room import Rooms
 from masticdeck.coordination.split import TrafficSplit
 from masticdeck.errors import RequestInvalid
@@ -52,7 +52,7 @@
         dispatcher: Dispatcher,
         rooms: Rooms,
         health: Health,
-        budget: RetryBudget,
+        budget: SharedBudget,
         pool: InstancePool,
         events: EventLog,
         metrics: Metrics,
--- /dev/null
+++ b/src/masticdeck/gateway/reloader.py
@@ -0,0 +1,65 @@
+"""Takes in a changed settings file, with a signal or without one."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from pathlib import Path
+
+from masticdeck.errors import SettingsInvalid
+from masticdeck.events import Code, EventLog
+from masticdeck.gateway.settings import GatewaySettings
+
+CHECK_S = 2.0
+"""Seconds between looks at the settings file."""
+
+
+class Reloader:
+    """Watches the settings file; a faulty one changes nothing."""
+
+    def __init__(
+        self,
+        path: Path,
+        load: Callable[[Path], GatewaySettings],
+        use: Callable[[GatewaySettings], None],
+        events: EventLog,
+    ) -> None:
+        self.path = path
+        self.load = load
+        self.use = use
+        self.events = events
+        self.seen = self.stamp()
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin to watch."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """End watching."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        """Reload when the file has changed."""
+        while True:
+            await asyncio.sleep(CHECK_S)
+            if self.stamp() != self.seen:
+                self.reload()
+
+    def stamp(self) -> tuple[int, int]:
+        """Return what changes with the file; zeros when it is not there."""
+        try:
+            status = self.path.stat()
+        except OSError:
+            return 0, 0
+        return status.st_mtime_ns, status.st_size
+
+    def reload(self) -> None:
+        """Read the file and pass its settings on."""
+        self.seen = self.stamp()
+        try:
+            self.use(self.load(self.path))
+        except SettingsInvalid as error:
+            self.events.emit(Code.SETTINGS_REJECTED, level=logging.WARNING, error=error)
--- a/src/masticdeck/platform/records.py
+++ b/src/masticdeck/platform/records.py
@@ -7,7 +7,8 @@
 from __future__ import annotations
 
 import json
-from typing import Any
+from collections.abc import Callable
+from typing import Any, TypeVar
 
 from masticdeck.ids import InstanceId, RegionId, ServiceId, Version, ZoneId
 from masticdeck.platform.units import parse_duration
@@ -29,6 +30,8 @@
 INSTANCE_PREFIX = "servers/"
 MAX_SLOTS = 100_000
 
+T = TypeVar("T")
+
 
 class PlatformRecords:
     """Decoder of the records that the operator and the instances write."""
@@ -54,7 +57,7 @@
         )
 
 
-def guarded(decode: Any, value: bytes) -> Any:
+def guarded(decode: Callable[[dict[str, Any]], T], value: bytes) -> T:
     """Decode a JSON record; any shape that does not fit is RecordInvalid."""
     try:
         return decode(json.loads(value))
--- a/src/masticdeck/programs/gateway.py
+++ b/src/masticdeck/programs/gateway.py
@@ -42,6 +42,7 @@
         from masticdeck.clock import HybridClock
         from masticdeck.events import EventLog
         from masticdeck.gateway.app import Endpoints, Gateway, Platform
+        from masticdeck.gateway.reloader import Reloader
         from masticdeck.logs import configure_lines
         from masticdeck.metrics import Metrics
         from masticdeck.platform.endpoints import PlatformEndpoints
@@ -69,8 +70,11 @@
         endpoints = Endpoints(
             readiness=calls.answer_readiness, lookup=calls.answer_lookup
         )
+        reloader = Reloader(path, load_settings, gateway.use_settings, events)
+        application = gateway.build(store, endpoints, [reloader])
+        application.on_reload.append(reloader.reload)
         try:
-            return await serve(gateway.build(store, endpoints, []))
+            return await serve(application)
         finally:
             lines.finish()
 
--- a/src/masticdeck/programs/runtime.py
+++ b/src/masticdeck/programs/runtime.py
@@ -64,12 +64,16 @@
     A signal during the start ends it; further signals during the stop change
     nothing.
 
+    SIGHUP reloads the settings of an application that can.
+
     SIGUSR1 turns debug logging on and SIGUSR2 back to the level of the start.
     """
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
+    if application.on_reload:
+        loop.add_signal_handler(signal.SIGHUP, application.reload)
     level = logging.getLogger().level
     loop.add_signal_handler(signal.SIGUSR1, set_level, logging.DEBUG)
     loop.add_signal_handler(signal.SIGUSR2, set_level, level)
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -171,11 +171,23 @@
     def eof_received(self) -> bool:
         """Take an orderly end for the end of an answer without a length."""
         if self.busy and self.until_close and self.error is None:
+            if self.was_reset():
+                self.fail("the connection was reset")
+                return False
             self.complete = True
             self.reusable = False
             self.wake()
         return False
 
+    def was_reset(self) -> bool:
+        """Return whether the socket holds an error.
+
+        libuv reports a reset that arrives together with data as an orderly end.
+        """
+        assert self.transport is not None
+        sock = self.transport.get_extra_info("socket")
+        return bool(sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR))
+
     def connection_lost(self, exc: Exception | None) -> None:
         """Fail the exchange that is not complete."""
         self.closed = True
--- a/src/masticdeck/transport/peers.py
+++ b/src/masticdeck/transport/peers.py
@@ -17,12 +17,12 @@
 
 from masticdeck.clock import HybridClock
 from masticdeck.ids import EntryId
-from masticdeck.transport.tls import PeerTls
 
 if TYPE_CHECKING:
     from grpclib._typing import IServable
 
     from masticdeck.state.deployment import Deployment
+    from masticdeck.transport.tls import PeerTls
 
 
 STAMP_KEY = "masticdeck-stamp"
--- /dev/null
+++ b/testing/platform/test_store.py
@@ -0,0 +1,136 @@
+"""The client of the platform's store, with the store well and unwell."""
+
+from __future__ import annotations
+
+import asyncio
+
+import pytest
+
+from masticdeck.errors import (
+    StoreAnswerInvalid,
+    StoreConflict,
+    StoreHistoryLost,
+    StoreUnavailable,
+)
+from masticdeck.events import Code
+from masticdeck.platform import store as store_module
+from masticdeck.protocol.store import ABSENT
+
+
+async def test_written_value_is_read_back_with_its_revision(store):
+    revision = await store.put("a/b", b"\x00value", expect=ABSENT)
+    item = await store.get("a/b")
+    assert (item.value, item.revision) == (b"\x00value", revision)
+
+
+async def test_absent_key_is_none(store):
+    assert await store.get("a/b") is None
+
+
+async def test_write_against_another_revision_conflicts(store):
+    await store.put("a", b"1")
+    with pytest.raises(StoreConflict):
+        await store.put("a", b"2", expect=ABSENT)
+
+
+async def test_listing_takes_every_page(store, standin):
+    for number in range(10):
+        standin.write(f"a/{number}", b"x")
+    standin.write("b", b"x")
+    listing = await store.list("a/")
+    assert [item.key for item in listing.items] == [f"a/{one}" for one in range(10)]
+    assert standin.calls.count("kv-range") == 4
+
+
+async def test_listing_has_the_revision_of_its_first_page(store, standin):
+    for number in range(5):
+        standin.write(f"a/{number}", b"x")
+    first = standin.revision
+    standin.delay_s = 0.05
+    reading = asyncio.create_task(store.list("a/"))
+    while standin.calls.count("kv-range") < 2:
+        await asyncio.sleep(0.005)
+    standin.write("a/0", b"changed while the second page is read")
+    assert (await reading).revision == first
+
+
+async def test_watch_returns_values_and_deletions(store, standin):
+    standin.write("a", b"1")
+    standin.remove("a")
+    changes = await store.watch("", 1, wait_s=1)
+    assert [(one.key, one.value) for one in changes.changes] == [
+        ("a", b"1"),
+        ("a", None),
+    ]
+    assert changes.revision == standin.revision
+
+
+async def test_watch_without_changes_ends_after_its_wait(store, standin):
+    changes = await store.watch("", standin.revision, wait_s=0.05)
+    assert changes.changes == ()
+
+
+async def test_lost_history_is_told_apart(store, standin):
+    standin.write("a", b"1")
+    standin.compact()
+    with pytest.raises(StoreHistoryLost):
+        await store.watch("", 1, wait_s=1)
+
+
+async def test_key_under_a_lease_vanishes_with_it(store):
+    lease = await store.grant_lease(5)
+    await store.put("a", b"1", lease=lease)
+    await store.renew_lease(lease)
+    await store.revoke_lease(lease)
+    assert await store.get("a") is None
+
+
+async def test_renewing_an_ended_lease_conflicts(store):
+    lease = await store.grant_lease(5)
+    await store.revoke_lease(lease)
+    with pytest.raises(StoreConflict):
+        await store.renew_lease(lease)
+
+
+@pytest.mark.parametrize("status", [429, 500, 503])
+async def test_refusing_store_is_unavailable(store, standin, status):
+    standin.refuse_with = status
+    with pytest.raises(StoreUnavailable, match=str(status)):
+        await store.get("a")
+
+
+async def test_write_with_a_lost_answer_is_unavailable_but_may_have_acted(
+    store, standin
+):
+    standin.lose_answers = True
+    with pytest.raises(StoreUnavailable):
+        await store.put("a", b"1")
+    standin.lose_answers = False
+    assert (await store.get("a")).value == b"1"
+
+
+async def test_silent_store_is_unavailable_after_the_call_timeout(
+    store, standin, monkeypatch
+):
+    monkeypatch.setattr(store_module, "CALL_TIMEOUT_S", 0.1)
+    standin.silent = True
+    with pytest.raises(StoreUnavailable):
+        await store.get("a")
+
+
+async def test_outage_begins_and_ends_with_one_event_each(store, standin, events):
+    standin.refuse_with = 503
+    for _ in range(3):
+        with pytest.raises(StoreUnavailable):
+            await store.get("a")
+    standin.refuse_with = None
+    await store.get("a")
+    await store.get("a")
+    codes = [event.code for event in events.ring]
+    assert codes == [Code.STORE_UNAVAILABLE, Code.STORE_AVAILABLE]
+
+
+async def test_item_without_a_value_is_invalid(store, standin):
+    standin.items["a"] = {"key": "a", "revision": 1}
+    with pytest.raises(StoreAnswerInvalid):
+        await store.get("a")
--- /dev/null
+++ b/testing/transport/test_http1_client.py
@@ -0,0 +1,151 @@
+"""Connections to instances: whole, cut, late and unasked answers."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+import time
+from collections.abc import Callable
+
+import pytest
+
+from masticdeck.transport.http1_client import (
+    ExchangeBroken,
+    InstanceConnection,
+    connect,
+)
+
+REQUEST = b"GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n"
+UNFRAMED = b"HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nfirst"
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nfirst"
+EXTRA = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nId: old\r\n\r\nother"
+
+
+class RawInstance:
+    """A socket that answers the first request with bytes of the test's choice."""
+
+    def __init__(self) -> None:
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.port = self.listener.getsockname()[1]
+
+    def accept(self) -> socket.socket:
+        """Return the accepted connection after it received a request."""
+        connection, _ = self.listener.accept()
+        while b"\r\n\r\n" not in connection.recv(65_536):
+            pass
+        return connection
+
+
+@pytest.fixture
+def instance():
+    raw = RawInstance()
+    yield raw
+    raw.listener.close()
+
+
+async def ask(
+    instance: RawInstance,
+    act: Callable[[socket.socket], None],
+    accepts: Callable[[int, list[tuple[bytes, bytes]]], bool] = lambda *_: True,
+) -> tuple[InstanceConnection, bytes]:
+    """Send a request, let the instance act, and return the body of the answer."""
+    connection = await connect("127.0.0.1", instance.port, timeout_s=2)
+    connection.begin(REQUEST, bodyless=False, accepts=accepts)
+    raw = await asyncio.to_thread(instance.accept)
+    act(raw)
+    await connection.read_head()
+    body = b""
+    while part := await connection.read_chunk():
+        body += part
+    return connection, body
+
+
+def reset(raw: socket.socket) -> None:
+    """Close with a reset."""
+    raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    raw.close()
+
+
+async def test_answer_without_length_ends_with_an_orderly_close(instance):
+    def act(raw: socket.socket) -> None:
+        raw.sendall(UNFRAMED)
+        raw.close()
+
+    connection, body = await ask(instance, act)
+    assert body == b"first"
+    assert not connection.finish()
+
+
+async def test_answer_without_length_is_broken_by_a_reset_beside_its_data(instance):
+    def act(raw: socket.socket) -> None:
+        raw.sendall(UNFRAMED)
+        reset(raw)
+        # Both reach the loop in one turn, as they do over a slow link.
+        time.sleep(0.05)
+
+    with pytest.raises(ExchangeBroken):
+        await ask(instance, act)
+
+
+async def test_answer_cut_before_its_stated_length_is_broken(instance):
+    def act(raw: socket.socket) -> None:
+        raw.sendall(WHOLE[:-2])
+        raw.close()
+
+    with pytest.raises(ExchangeBroken):
+        await ask(instance, act)
+
+
+async def test_answer_to_an_earlier_request_is_dropped(instance):
+    def accepts(status: int, headers: list[tuple[bytes, bytes]]) -> bool:
+        return (b"Id", b"old") not in headers
+
+    connection, body = await ask(
+        instance, lambda raw: raw.sendall(EXTRA + WHOLE), accepts
+    )
+    assert body == b"first"
+    assert not connection.finish()
+
+
+@pytest.mark.parametrize(
+    "surplus", [pytest.param(EXTRA, id="answer"), pytest.param(b"x", id="bytes")]
+)
+async def test_connection_with_surplus_bytes_is_not_used_again(instance, surplus):
+    connection, body = await ask(instance, lambda raw: raw.sendall(WHOLE + surplus))
+    assert body == b"first"
+    assert not connection.finish()
+
+
+async def test_whole_answer_leaves_the_connection_reusable(instance):
+    connection, body = await ask(instance, lambda raw: raw.sendall(WHOLE))
+    assert body == b"first"
+    assert connection.finish()
+    connection.close()
+
+
+async def test_bytes_on_an_idle_connection_close_it(instance):
+    kept: list[socket.socket] = []
+
+    def act(raw: socket.socket) -> None:
+        kept.append(raw)
+        raw.sendall(WHOLE)
+
+    connection, _ = await ask(instance, act)
+    ended = asyncio.get_running_loop().create_future()
+    assert connection.finish()
+    connection.on_idle_end = ended.set_result
+    kept[0].sendall(EXTRA)
+    assert await asyncio.wait_for(ended, 5) is connection
+    assert connection.closed
+
+
+async def test_bytes_that_are_no_answer_break_the_exchange(instance):
+    with pytest.raises(ExchangeBroken):
+        await ask(instance, lambda raw: raw.sendall(b"rubbish\r\n\r\n"))
+
+
+async def test_interim_answers_are_passed_over(instance):
+    interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
+    _, body = await ask(instance, lambda raw: raw.sendall(interim + WHOLE))
+    assert body == b"first"
