Test an entry on a live fleet through its sockets

Cause: the gateway had no tests; the first ones found that the first listing counted as the return from an outage, so removed instances stayed in use.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -115,7 +115,7 @@
         """Note that the copy was current at boot time ``at``."""
         if at <= self.confirmed_at:
             return
-        if now - self.confirmed_at > OUTAGE_S:
+        if OUTAGE_S < now - self.confirmed_at < float("inf"):
             self.restored_at = now
             self.listener.contact_restored(now)
         self.confirmed_at = at
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -97,7 +97,7 @@
         self.peer_server = PeerServer(
             settings.peer.host, settings.peer.port, [FeedService(self.copy)]
         )
-        self.directory = Directory(self.fleet, self.own)
+        self.directory = Directory(self.fleet, self.own, events)
         self.roster = Roster(
             platform.store,
             self.own,
--- a/src/masticdeck/gateway/directory.py
+++ b/src/masticdeck/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, RegionId, ZoneId
 from masticdeck.state.fleet import Fleet, FleetEntry
 
@@ -16,8 +17,9 @@
     of their region, and only without any the entries of other regions.
     """
 
-    def __init__(self, fleet: Fleet, own: FleetEntry) -> None:
+    def __init__(self, fleet: Fleet, own: FleetEntry, events: EventLog) -> None:
         self.fleet = fleet
+        self.events = events
         self.own = own
         self.leaving = False
 
@@ -36,8 +38,15 @@
         if not near:
             region_of = self.fleet.region_of
             near = [one for one in entries if region_of.get(one.zone) == region]
-        chosen = sorted(near or entries, key=lambda one: one.id)
-        return [one.caller_address for one in chosen[:MOST_ADDRESSES]]
+        chosen = sorted(near or entries, key=lambda one: one.id)[:MOST_ADDRESSES]
+        self.events.emit(
+            Code.DIRECTORY_ANSWERED,
+            zone=zone,
+            region=region,
+            chosen=",".join(one.id for one in chosen),
+            known=len(entries),
+        )
+        return [one.caller_address for one in chosen]
 
     def is_ready(self) -> bool:
         """Return whether this entry wants requests."""
--- /dev/null
+++ b/testing/gateway/__init__.py
@@ -0,0 +1,3 @@
+"""Tests of an entry on a live fleet, through its sockets."""
+
+from __future__ import annotations
--- /dev/null
+++ b/testing/gateway/world.py
@@ -0,0 +1,251 @@
+"""One entry with the stand-ins of the store and of instances around it."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import socket
+from contextlib import AsyncExitStack
+from dataclasses import dataclass, field
+from typing import Any
+
+from masticdeck.application import Application
+from masticdeck.clock import HybridClock
+from masticdeck.events import Code, EventLog
+from masticdeck.gateway.app import Endpoints, Gateway, Platform
+from masticdeck.gateway.settings import GatewaySettings
+from masticdeck.metrics import Metrics
+from masticdeck.platform.endpoints import PlatformEndpoints
+from masticdeck.platform.headers import PlatformDialect
+from masticdeck.platform.records import PlatformRecords
+from masticdeck.platform.settings import translate
+from masticdeck.platform.store import PlatformStore
+from testing.platform.standin_instance import StandinInstance
+from testing.platform.standin_store import StandinStore
+
+ZONES = {
+    "cesis-a": "vidzeme",
+    "valmiera-b": "vidzeme",
+    "kuldiga-a": "kurzeme",
+    "talsi-b": "kurzeme",
+}
+HOST = "a.example"
+WAIT_S = 5.0
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that nobody uses now."""
+    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
+    ports = [one.getsockname()[1] for one in sockets]
+    for one in sockets:
+        one.close()
+    return ports
+
+
+def settings_fields(store: str, *, name: str = "entry-1") -> dict[str, Any]:
+    """Return the fields of a settings file of the platform."""
+    callers, ready, directory, first = free_ports(4)
+    return {
+        "node_name": name,
+        "zone": "cesis-a",
+        "zones": ZONES,
+        "ip_address": "127.0.0.1",
+        "listen_addresses": {
+            "frontend": f"127.0.0.1:{callers}",
+            "ready": f"127.0.0.1:{ready}",
+            "directory": f"127.0.0.1:{directory}",
+        },
+        "internal_ports": [first, first + 1],
+        "platform": {"address": store},
+        "bounds": {
+            "grace_period": "6s",
+            "retry_budget_ratio": 0.2,
+            "budget_slack": 58,
+            "budget_window": "10s",
+        },
+    }
+
+
+def route(prefix: str, kind: str, service: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the platform's configuration."""
+    return {
+        "name": f"r{prefix}",
+        "prefix": prefix,
+        "kind": kind,
+        "timeout": "2s",
+        "target_latency": "1s",
+        "priority": 1,
+        "service": service,
+        "max_attempts": 2,
+        "sticky_sessions": False,
+        "home_regions": [],
+        **changes,
+    }
+
+
+def configuration(version: int, routes: list[dict[str, Any]]) -> bytes:
+    """Return the operator's configuration with one host."""
+    names = {one["service"] for one in routes if "service" in one}
+    services = [
+        {
+            "name": name,
+            "health_path": "/health",
+            "connection_limit": 330,
+            "cold_start": "3s",
+            "cold_per_s": 4.3,
+        }
+        for name in sorted(names)
+    ]
+    limits = {
+        "max_header_bytes": 4096,
+        "max_body_bytes": 10_000,
+        "header_timeout": "1s",
+        "idle_timeout": "15s",
+    }
+    hosts = [{"hostname": HOST, "paths": routes}]
+    fields = {"services": services, "limits": limits, "hosts": hosts}
+    return json.dumps({"version": version, **fields}).encode()
+
+
+@dataclass
+class Answer:
+    """An answer as a caller sees it."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class World:
+    """What a test of an entry works with."""
+
+    stack: AsyncExitStack
+    store: StandinStore = field(default_factory=StandinStore)
+    instances: dict[str, StandinInstance] = field(default_factory=dict)
+    version: itertools.count[int] = field(default_factory=lambda: itertools.count(1))
+    ids: itertools.count[int] = field(default_factory=itertools.count)
+    gateway: Gateway | None = None
+    application: Application | None = None
+    events: EventLog = field(default_factory=lambda: EventLog("entry-1", HybridClock()))
+
+    async def start_entry(self) -> Gateway:
+        """Start the entry and wait until it is ready."""
+        fields = settings_fields(self.store.address)
+        [metrics_port] = free_ports(1)
+        own = translate(fields)
+        own["metrics"]["port"] = metrics_port
+        settings = GatewaySettings.model_validate(own)
+        metrics = Metrics(zone=settings.zone)
+        store = PlatformStore(settings.store, events=self.events, metrics=metrics)
+        platform = Platform(
+            store=store, decoder=PlatformRecords(), dialect=PlatformDialect()
+        )
+        gateway = Gateway(settings, platform, self.events, metrics)
+        calls = PlatformEndpoints(gateway.directory, ttl_s=settings.lookup_ttl_s)
+        endpoints = Endpoints(
+            readiness=calls.answer_readiness, lookup=calls.answer_lookup
+        )
+        self.application = gateway.build(store, endpoints, [])
+        await self.application.start()
+        self.stack.push_async_callback(self.application.stop)
+        self.gateway = gateway
+        return gateway
+
+    async def add_instance(
+        self, name: str, service: str, **fields: Any
+    ) -> StandinInstance:
+        """Start an instance and register it."""
+        instance = StandinInstance(name, service, **fields)
+        await instance.start()
+        self.stack.push_async_callback(instance.stop)
+        self.instances[name] = instance
+        self.store.write(f"servers/{name}", instance.record())
+        return instance
+
+    def configure(self, *routes: dict[str, Any]) -> int:
+        """Let the operator write a configuration; return its version."""
+        version = next(self.version)
+        self.store.write("op/config", configuration(version, list(routes)))
+        return version
+
+    async def settle(self) -> None:
+        """Wait until the entry knows all that is in the store."""
+        assert self.gateway is not None
+        async with asyncio.timeout(WAIT_S):
+            while self.gateway.copy.revision < self.store.revision:
+                await asyncio.sleep(0.01)
+
+    async def wait_for(self, code: Code) -> None:
+        """Wait until an event has happened."""
+        async with asyncio.timeout(WAIT_S):
+            while not any(event.code is code for event in self.events.ring):
+                await asyncio.sleep(0.01)
+
+    def request_bytes(
+        self,
+        target: str,
+        *,
+        method: str = "GET",
+        body: bytes = b"",
+        key: str | None = None,
+        remaining_ms: int = 4000,
+        extra: str = "",
+        request_id: str | None = None,
+    ) -> bytes:
+        """Return a caller's request."""
+        lines = [
+            f"{method} {target} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Attempt-Id: {request_id or f'id-{next(self.ids)}'}",
+            f"Deadline-Remaining-Ms: {remaining_ms}",
+        ]
+        if key is not None:
+            lines.append(f"Affinity-Key: {key}")
+        if body:
+            lines.append(f"Content-Length: {len(body)}")
+        if extra:
+            lines.append(extra)
+        return "\r\n".join([*lines, "", ""]).encode() + body
+
+    async def connect(self) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        """Open a caller's connection to the entry."""
+        assert self.gateway is not None
+        address = self.gateway.settings.callers
+        return await asyncio.open_connection(address.host, address.port)
+
+    async def ask(self, target: str, **fields: Any) -> Answer:
+        """Send one request on a connection of its own and return the answer."""
+        reader, writer = await self.connect()
+        try:
+            writer.write(self.request_bytes(target, **fields))
+            async with asyncio.timeout(WAIT_S):
+                return await read_answer(reader)
+        finally:
+            writer.close()
+
+
+async def read_answer(reader: asyncio.StreamReader) -> Answer:
+    """Read one answer; raises IncompleteReadError for one that is cut."""
+    head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+    first, *lines = head.rstrip("\r\n").split("\r\n")
+    headers = {}
+    for line in lines:
+        name, _, value = line.partition(":")
+        headers[name.lower()] = value.strip()
+    if headers.get("transfer-encoding") == "chunked":
+        body = await read_chunks(reader)
+    else:
+        body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return Answer(int(first.split(" ")[1]), headers, body)
+
+
+async def read_chunks(reader: asyncio.StreamReader) -> bytes:
+    """Read a body in chunks."""
+    body = b""
+    while size := int(await reader.readuntil(b"\r\n"), 16):
+        body += await reader.readexactly(size)
+        await reader.readexactly(2)
+    await reader.readexactly(2)
+    return body
