Keep connections to instances for longer, and large answers in the zone

Cause: connections were closed after 3 s idle, so answers from other regions often paid for a handshake; large answers crossed zones when one instance was busy. Tests without a network showed that requests to cold instances were never counted, as the check used a later time than the spending. Change: idle connections are kept until the instance closes them, unsafe requests take only fresh ones, and a request met by a dropped connection is sent again; large answers wait in their zone; one time for a decision.

--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -125,6 +125,7 @@
         candidates = self.candidates(ticket)
         if not candidates:
             return None
+        self.spend_cold(candidates[0], boottime())
         self.rooms.begin(candidates[0])
         return candidates[0]
 
@@ -235,15 +236,12 @@
         if self.fleet.cold_until(instance) <= now:
             return True
         room = self.rooms.get(instance)
-        return self.rooms.take_cold_credit(
-            room, self.cold_rate(instance), now, spend=False
-        )
+        return self.rooms.bears_cold(room, self.cold_rate(instance), now)
 
     def spend_cold(self, instance: FleetInstance, now: float) -> None:
         """Count a request that goes to a cold instance."""
         if self.fleet.cold_until(instance) > now:
-            room = self.rooms.get(instance)
-            self.rooms.take_cold_credit(room, self.cold_rate(instance), now, spend=True)
+            self.rooms.spend_cold(self.rooms.get(instance))
 
     def cold_rate(self, instance: FleetInstance) -> float:
         """Return this entry's part of a cold instance's rate, in requests/s."""
--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -5,8 +5,9 @@
 has ``COPIES`` instances in the whole system, the same at every entry, chosen by
 rendezvous hashing: when an instance comes or goes, only its own keys move.
 
-Requests without a key go by distance. Large answers stay close, because bytes
-between zones cost more than the work saved by a warm instance.
+Requests without a key go by distance. Large answers come from the nearest
+instances only, because bytes between zones cost more than the work that a warm
+instance saves; they wait for room there rather than go further.
 """
 
 from __future__ import annotations
@@ -67,8 +68,17 @@
             if may_serve(route, self.fleet.region_of[instance.zone])
             and usable(instance)
         ]
+        if route.kind is RouteKind.DOWNLOAD:
+            found = self.nearest(found)
         return found[:COPIES]
 
+    def nearest(self, instances: list[FleetInstance]) -> list[FleetInstance]:
+        """Return the first instances that are equally near."""
+        if not instances:
+            return instances
+        nearest = self.distance(instances[0])
+        return [one for one in instances if self.distance(one) is nearest]
+
     def by_distance(
         self, route: Route, service: ServiceId, usable: Usable
     ) -> list[FleetInstance]:
--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -103,19 +103,17 @@
         else:
             room.latency_s += LATENCY_WEIGHT * (latency_s - room.latency_s)
 
-    def take_cold_credit(
-        self, room: InstanceRoom, per_s: float, now: float, *, spend: bool
-    ) -> bool:
-        """Return whether a cold instance bears one more request.
+    def bears_cold(self, room: InstanceRoom, per_s: float, now: float) -> bool:
+        """Return whether a cold instance bears one more request from this entry.
 
         ``per_s`` is this entry's part of the instance's rate, in requests a
         second.
         """
-        grown = room.cold_credit + per_s * (now - room.cold_at)
+        grown = room.cold_credit + per_s * max(0.0, now - room.cold_at)
         room.cold_credit = min(COLD_BURST, grown)
-        room.cold_at = now
-        if room.cold_credit < 1.0:
-            return False
-        if spend:
-            room.cold_credit -= 1.0
-        return True
+        room.cold_at = max(room.cold_at, now)
+        return room.cold_credit >= 1.0
+
+    def spend_cold(self, room: InstanceRoom) -> None:
+        """Count a request that goes to a cold instance."""
+        room.cold_credit -= 1.0
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -39,6 +39,9 @@
 OBJECTIVE_WAIT_PART = 0.6
 """Part of the wanted latency that a request may wait for room."""
 
+STALE_RESET_S = 0.15
+"""Time within which a dropped connection resets a request: two long round trips."""
+
 UNSTATED_REMAINING_S = 10.0
 """Time that a caller has when it does not say."""
 
@@ -50,6 +53,7 @@
     SHED = "shed"
     MISDIRECTED = "misdirected"
     UNREACHABLE = "unreachable"
+    STALE = "stale connection"
     BROKEN = "broken"
     FAILED = "failed"
     LATE = "late"
@@ -66,6 +70,9 @@
 )
 
 
+UNARRIVED_ENDS = frozenset({AttemptEnd.UNREACHABLE, AttemptEnd.STALE})
+"""Ends of attempts that did not arrive, so that another one costs no budget."""
+
 FINAL_ENDS = frozenset({AttemptEnd.ANSWERED, AttemptEnd.CUT})
 
 
@@ -180,13 +187,16 @@
 
     def may_repeat(self, end: AttemptEnd) -> bool:
         """Return whether another instance may be tried after a failed attempt."""
+        if end is AttemptEnd.STALE:
+            self.attempts -= 1
+            self.ticket.tried.clear()
         if self.attempts >= self.ticket.route.max_attempts:
             return False
         if not self.route.idempotent and not end.proves_not_run:
             return False
         if self.deadline - boottime() < LEAST_SEND_S:
             return False
-        if end is AttemptEnd.UNREACHABLE:
+        if end in UNARRIVED_ENDS:
             return True
         return self.forwarder.budget.spend(self.ticket.service)
 
@@ -225,6 +235,8 @@
                 end = AttemptEnd.CUT
             else:
                 end = AttemptEnd.BROKEN
+                if connection is not None and was_stale(connection, boottime() - began):
+                    end = AttemptEnd.STALE
                 self.note_failed(instance, end, error)
         finally:
             if connection is not None:
@@ -237,7 +249,9 @@
     async def connect(self, instance: FleetInstance) -> InstanceConnection:
         """Return a kept or a new connection to the instance."""
         pool = self.forwarder.pool
-        kept = pool.take(instance, repeatable=self.route.idempotent)
+        kept = None
+        if AttemptEnd.STALE not in self.ends:
+            kept = pool.take(instance, repeatable=self.route.idempotent)
         return kept if kept is not None else await pool.open(instance)
 
     async def ask(
@@ -437,6 +451,12 @@
         self.forwarder.record(self.ticket, end, self.request.received_at)
 
 
+def was_stale(connection: InstanceConnection, seconds: float) -> bool:
+    """Return whether a kept connection had been dropped before it was used."""
+    unanswered = connection.uses > 1 and not connection.head_bytes
+    return unanswered and seconds < STALE_RESET_S
+
+
 async def read_start(connection: InstanceConnection) -> tuple[list[bytes], bool]:
     """Return the first parts of a body, and whether they are all of it."""
     parts: list[bytes] = []
--- a/src/masticdeck/transport/instance_pool.py
+++ b/src/masticdeck/transport/instance_pool.py
@@ -12,14 +12,22 @@
 CONNECT_TIMEOUT_S = 0.6
 """Longest wait for a connection: several round trips between regions."""
 
-UNSTATED_IDLE_S = 4.0
-"""How long a connection is kept when the instance states no idle time."""
+UNSTATED_IDLE_S = 30.0
+"""How long a connection is kept when the instance states no idle time.
 
-IDLE_PART = 0.7
+The instance's own close removes it before, and a request that meets the close
+on its way is sent again.
+"""
+
+IDLE_PART = 0.85
 """Part of an instance's idle time after which a connection is not used."""
 
-UNSAFE_IDLE_PART = 0.4
-"""The same for requests that may not be repeated after a reset."""
+UNSAFE_IDLE_S = 1.0
+"""Idle time after which a connection is not used for an unsafe request.
+
+A connection that the instance has dropped is reset by what is sent next, and
+an unsafe request cannot be sent again then.
+"""
 
 SWEEP_S = 1.0
 """Seconds between closings of connections that were idle for too long."""
@@ -52,12 +60,14 @@
         self, instance: FleetInstance, *, repeatable: bool
     ) -> InstanceConnection | None:
         """Return an idle connection that is likely still open, or None."""
-        part = IDLE_PART if repeatable else UNSAFE_IDLE_PART
         connections = self.idle.get(connection_key(instance), [])
         while connections:
-            connection = connections.pop()
+            connection = connections[-1]
+            if not repeatable and idle_s(connection) > UNSAFE_IDLE_S:
+                return None
+            connections.pop()
             connection.on_idle_end = None
-            if not connection.closed and is_fresh(connection, part):
+            if not connection.closed and is_fresh(connection):
                 return connection
             connection.close()
         return None
@@ -87,7 +97,7 @@
             await asyncio.sleep(SWEEP_S)
             for connections in self.idle.values():
                 for connection in list(connections):
-                    if not is_fresh(connection, IDLE_PART):
+                    if not is_fresh(connection):
                         discard(connections, connection)
                         connection.on_idle_end = None
                         connection.close()
@@ -98,11 +108,16 @@
     return instance.id, instance.born_ms, instance.host, instance.port
 
 
-def is_fresh(connection: InstanceConnection, part: float) -> bool:
-    """Return whether a connection was idle for less than its idle time."""
+def idle_s(connection: InstanceConnection) -> float:
+    """Return the seconds since a connection was last used."""
+    return boottime() - connection.idle_since
+
+
+def is_fresh(connection: InstanceConnection) -> bool:
+    """Return whether the instance has likely not closed a connection yet."""
     limit = connection.idle_limit_s
-    idle = boottime() - connection.idle_since
-    return idle < part * (UNSTATED_IDLE_S if limit is None else limit)
+    limit = UNSTATED_IDLE_S if limit is None else limit
+    return idle_s(connection) < IDLE_PART * limit
 
 
 def discard(
