Leave a source of records whose copy has grown old

Ruled out: the sender's copy, which had the version 0.2 s after the store. Change: the stream is cancelled first; an entry with an old copy also asks the store; no error of a source or of an answer ends the feed.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -16,7 +16,7 @@
 from typing import Protocol, final
 
 from masticdeck.clock import boottime
-from masticdeck.errors import MasticdeckError, StoreHistoryLost
+from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Revision
 from masticdeck.protocol.store import Change, KeyValue, Store
@@ -232,7 +232,8 @@
                 await asyncio.sleep(max(0.0, PACE_S - (boottime() - began)))
             except StoreHistoryLost:
                 self.listed = False
-            except MasticdeckError as error:
+            except Exception as error:
+                # The feed outlives every answer, also one that nobody foresaw.
                 self.note_failure(error)
                 await asyncio.sleep(self.retry_s)
                 self.retry_s = min(MOST_RETRY_S, 2 * self.retry_s)
@@ -253,15 +254,15 @@
         self.copy.confirm(max(sent, boottime() - PACE_S), boottime())
         self.copy.extend(changes.changes, changes.revision)
 
-    def note_failure(self, error: MasticdeckError) -> None:
+    def note_failure(self, error: Exception) -> None:
         """Record the first failure in a row."""
         if not self.failing:
             self.failing = True
             self.events.emit(
                 Code.FEED_FAILED,
                 level=logging.WARNING,
-                error=error.code,
-                detail=error.detail,
+                error=type(error).__name__,
+                detail=error,
                 revision=self.copy.revision,
                 age_s=round(self.copy.age_s(boottime()), 3),
             )
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -15,7 +15,6 @@
 
 import xxhash
 from grpclib.client import Channel
-from grpclib.exceptions import GRPCError, StreamTerminatedError
 
 from masticdeck.clock import boottime
 from masticdeck.coordination.feed import FeedPart, RecordCopy, StoreFeed
@@ -45,10 +44,8 @@
 CHECK_S = 0.2
 """Seconds between checks whether another entry's copy is needed."""
 
-OLDEST_PART_S = 4.0
-"""Age of a copy from which another source is tried."""
-
-PEER_ERRORS = (OSError, TimeoutError, GRPCError, StreamTerminatedError)
+OLDEST_PART_S = 3.0
+"""Age of a copy from which another source is tried, the store included."""
 
 
 class Watchers:
@@ -75,8 +72,13 @@
         ranked = sorted(entries, key=lambda one: xxhash.xxh64_intdigest(one.encode()))
         return ranked[:WATCHERS_PER_REGION]
 
-    def includes_own(self) -> bool:
-        """Return whether this entry is one of them."""
+    def includes_own(self, copy: RecordCopy) -> bool:
+        """Return whether this entry follows the store.
+
+        One whose copy has grown old does so too: its sources may all be cut off.
+        """
+        if copy.age_s(boottime()) > OLDEST_PART_S:
+            return True
         return self.own.id in self.of_region()
 
 
@@ -158,7 +160,8 @@
         )
         try:
             await self.receive(channel)
-        except PEER_ERRORS as error:
+        except Exception as error:
+            # Whatever a source does wrong, another one has to be tried.
             self.events.emit(
                 Code.FEED_FAILED,
                 level=logging.WARNING,
@@ -182,11 +185,12 @@
                 async with asyncio.timeout(SILENCE_S):
                     message = await stream.recv_message()
                 if message is None:
-                    return
+                    break
                 part = decode_part(message)
                 self.copy.take_part(part, boottime())
                 if part.age_s > OLDEST_PART_S:
-                    return
+                    break
+            # Without it the end of the block waits for the sender's end.
             await stream.cancel()
 
 
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -91,7 +91,10 @@
         )
         self.watchers = Watchers(self.fleet, self.own)
         self.feed = StoreFeed(
-            platform.store, self.copy, events, wanted=self.watchers.includes_own
+            platform.store,
+            self.copy,
+            events,
+            wanted=lambda: self.watchers.includes_own(self.copy),
         )
         self.peer_feed = PeerFeed(self.copy, self.feed, self.watchers, events)
         self.peer_server = PeerServer(
