--- a/deploy/run.py
+++ b/deploy/run.py
@@ -1,4 +1,4 @@
-"""Starts ``masticdeck-gateway`` from a checkout that is not installed."""
+"""Starts one entry from a checkout that is not installed."""
 
 from __future__ import annotations
 
@@ -7,6 +7,6 @@
 
 sys.path.insert(0, str(Path(__file__).resolve().parent.parent / "src"))
 
-from masticdeck.programs.gateway import main
+from masticdeck.programs.gateway_process import run_gateway
 
-main()
+sys.exit(run_gateway())
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -114,24 +114,30 @@
             raise NoRoom from None
         except asyncio.CancelledError:
             if ticket.waiter.done() and not ticket.waiter.cancelled():
-                self.release(self.rooms.get(ticket.waiter.result()), None)
+                self.release(self.rooms.get(ticket.waiter.result()))
             raise
         finally:
             if ticket in queue:
                 queue.remove(ticket)
 
     def take_full(self, ticket: Ticket) -> FleetInstance | None:
-        """Return the best instance although it seems full, for its own queue."""
-        candidates = self.candidates(ticket)
+        """Return the emptiest instance for its own queue, if that is short."""
+        now = boottime()
+        candidates = [
+            instance
+            for instance in self.candidates(ticket)
+            if self.rooms.get(instance).has_queue(now)
+        ]
         if not candidates:
             return None
-        self.spend_cold(candidates[0], boottime())
-        self.rooms.begin(candidates[0])
-        return candidates[0]
+        chosen = min(candidates, key=lambda one: self.load(one, now))
+        self.spend_cold(chosen, now)
+        self.rooms.begin(chosen)
+        return chosen
 
-    def release(self, room: InstanceRoom, latency_s: float | None) -> None:
+    def release(self, room: InstanceRoom) -> None:
         """Count the end of a request and serve those that wait."""
-        self.rooms.end(room, latency_s)
+        self.rooms.end(room)
         self.serve_waiting()
 
     def serve_waiting(self) -> None:
--- a/src/masticdeck/coordination/health.py
+++ b/src/masticdeck/coordination/health.py
@@ -100,13 +100,26 @@
         return False
 
     def failed(
-        self, instance: InstanceId, now: float, *, unreachable: bool
+        self,
+        instance: InstanceId,
+        now: float,
+        *,
+        unreachable: bool,
+        decisive: bool = False,
     ) -> Ejection | None:
-        """Note a failure; return the ejection when it led to one."""
+        """Note a failure; return the ejection when it led to one.
+
+        A ``decisive`` failure ejects alone, but within the cap.
+        """
         state = self.by_instance[instance]
         state.failures += 1
         state.unreachable = unreachable
-        enough = state.trial or state.failures >= FAILURES_TO_EJECT or unreachable
+        enough = (
+            state.trial
+            or unreachable
+            or decisive
+            or state.failures >= FAILURES_TO_EJECT
+        )
         if now < state.until or not enough:
             return None
         if not unreachable and not self.may_eject(state.service, now):
--- a/src/masticdeck/coordination/retries.py
+++ b/src/masticdeck/coordination/retries.py
@@ -46,12 +46,15 @@
         saved = self.saved.get(service, self.initial)
         self.saved[service] = min(self.most_saved, saved + self.earned)
 
+    def affords(self, service: ServiceId) -> bool:
+        """Return whether a repeat may be sent now."""
+        return self.saved.get(service, self.initial) >= 1.0
+
     def spend(self, service: ServiceId) -> bool:
         """Return whether a repeat may be sent, and count it."""
-        saved = self.saved.get(service, self.initial)
-        if saved < 1.0:
+        if not self.affords(service):
             return False
-        self.saved[service] = saved - 1.0
+        self.saved[service] = self.saved.get(service, self.initial) - 1.0
         return True
 
 
--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-from masticdeck.ids import InstanceId
+from masticdeck.ids import InstanceId, ServiceId
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import FleetInstance
 
@@ -24,6 +24,15 @@
 LATENCY_WEIGHT = 0.2
 """Weight of a new latency in the moving average."""
 
+FULL_FACTOR = 2
+"""Requests at an instance, in slots, from which its own queue is too long."""
+
+LEAST_PATIENCE_S = 0.4
+"""Shortest silence of an instance that counts against it, in seconds."""
+
+PATIENCE_FACTOR = 3.0
+"""Silence that counts, in usual latencies of the service."""
+
 COLD_BURST = 1.0
 """Requests that one entry may send to a cold instance at once."""
 
@@ -33,7 +42,8 @@
     """What one entry knows of the use of one instance.
 
     ``own`` counts this entry's requests there; ``others`` those of other
-    entries at ``reported_at``. ``cold_credit`` is the number of requests that a
+    entries at ``reported_at``. ``heard_at`` is the boot time of the latest
+    answer of any kind. ``cold_credit`` is the number of requests that a
     cold instance may get from this entry.
     """
 
@@ -42,6 +52,7 @@
     others: int = 0
     reported_at: float = float("-inf")
     latency_s: float | None = None
+    heard_at: float = float("-inf")
     cold_credit: float = COLD_BURST
     cold_at: float = 0.0
 
@@ -59,12 +70,17 @@
             return self.used(now) < self.slots
         return self.own < max(1, int(self.slots * UNKNOWN_PART))
 
+    def has_queue(self, now: float) -> bool:
+        """Return whether one more request would find a short queue at most."""
+        return self.used(now) < FULL_FACTOR * self.slots
+
 
 class Rooms:
     """The use of every instance, as this entry sees it."""
 
     def __init__(self) -> None:
         self.by_instance: dict[InstanceId, InstanceRoom] = {}
+        self.usual_s: dict[ServiceId, float] = {}
 
     def get(self, instance: FleetInstance) -> InstanceRoom:
         """Return what is known of an instance."""
@@ -93,15 +109,24 @@
         room.others = max(0, use.running + use.waiting - room.own)
         room.reported_at = now
 
-    def end(self, room: InstanceRoom, latency_s: float | None) -> None:
-        """Count a request's end; ``latency_s`` is None when it got no answer."""
+    def report_full(self, room: InstanceRoom, now: float) -> None:
+        """Take in that an instance turned a request away."""
+        room.others = max(room.others, FULL_FACTOR * room.slots)
+        room.reported_at = now
+
+    def end(self, room: InstanceRoom) -> None:
+        """Count a request's end."""
         room.own -= 1
-        if latency_s is None:
-            return
-        if room.latency_s is None:
-            room.latency_s = latency_s
-        else:
-            room.latency_s += LATENCY_WEIGHT * (latency_s - room.latency_s)
+
+    def learn(self, room: InstanceRoom, service: ServiceId, latency_s: float) -> None:
+        """Take in how long an answer took."""
+        room.latency_s = average(room.latency_s, latency_s)
+        self.usual_s[service] = average(self.usual_s.get(service), latency_s)
+
+    def patience_s(self, service: ServiceId) -> float | None:
+        """Return the silence that counts against an instance of a service."""
+        usual = self.usual_s.get(service)
+        return None if usual is None else max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual)
 
     def bears_cold(self, room: InstanceRoom, per_s: float, now: float) -> bool:
         """Return whether a cold instance bears one more request from this entry.
@@ -117,3 +142,8 @@
     def spend_cold(self, room: InstanceRoom) -> None:
         """Count a request that goes to a cold instance."""
         room.cold_credit -= 1.0
+
+
+def average(known: float | None, value: float) -> float:
+    """Return the moving average after one more value."""
+    return value if known is None else known + LATENCY_WEIGHT * (value - known)
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -14,7 +14,8 @@
 from masticdeck.coordination.split import TrafficSplit
 from masticdeck.errors import RequestInvalid
 from masticdeck.events import Code, EventLog
-from masticdeck.gateway.exchange import AttemptEnd, Exchange, RouteGone
+from masticdeck.gateway.attempt import AttemptEnd
+from masticdeck.gateway.exchange import Exchange, RouteGone
 from masticdeck.metrics import Metrics
 from masticdeck.protocol.dialect import Dialect, Headers
 from masticdeck.state.fleet import Fleet, FleetInstance
@@ -36,6 +37,7 @@
         AttemptEnd.FAILED,
         AttemptEnd.LATE,
         AttemptEnd.CUT,
+        AttemptEnd.SILENT,
     }
 )
 
@@ -99,7 +101,7 @@
                     attempts=exchange.attempts,
                     left_ms=exchange.left_ms(),
                 )
-                self.record(exchange.ticket, "abandoned", request.received_at)
+                exchange.record("abandoned")
             raise
         except ConnectionError:
             raise
--- a/src/masticdeck/programs/gateway.py
+++ b/src/masticdeck/programs/gateway.py
@@ -9,7 +9,7 @@
 
 import cappa
 
-from masticdeck.programs.runtime import run, serve
+from masticdeck.programs.gateway_process import run_gateway
 
 
 @cappa.command(name="masticdeck-gateway", description="Run one entry on the platform.")
@@ -32,57 +32,8 @@
 
 def main() -> None:
     """Run the gateway program."""
-    sys.exit(run_gateway(cappa.parse(GatewayCommand)))
-
-
-def run_gateway(command: GatewayCommand) -> int:
-    """Check the settings and serve until the process is told to stop."""
-
-    async def body() -> int:
-        from masticdeck.clock import HybridClock
-        from masticdeck.events import EventLog
-        from masticdeck.gateway.app import Endpoints, Gateway, Platform
-        from masticdeck.gateway.reloader import Reloader
-        from masticdeck.logs import configure_lines
-        from masticdeck.metrics import Metrics
-        from masticdeck.platform.endpoints import PlatformEndpoints
-        from masticdeck.platform.headers import PlatformDialect
-        from masticdeck.platform.records import PlatformRecords
-        from masticdeck.platform.settings import load_settings, settings_path
-        from masticdeck.platform.store import PlatformStore
-
-        path = command.settings or settings_path()
-        settings = load_settings(path)
-        if command.check_settings:
-            print("settings valid")
-            return 0
-        lines = configure_lines(
-            sys.stdout, process=settings.entry, level=settings.log_level
-        )
-        events = EventLog(settings.entry, HybridClock(), capacity=RING_EVENTS)
-        metrics = Metrics(zone=settings.zone)
-        store = PlatformStore(settings.store, events=events, metrics=metrics)
-        platform = Platform(
-            store=store, decoder=PlatformRecords(), dialect=PlatformDialect()
-        )
-        gateway = Gateway(settings, platform, events, metrics)
-        calls = PlatformEndpoints(gateway.directory, ttl_s=settings.lookup_ttl_s)
-        endpoints = Endpoints(
-            readiness=calls.answer_readiness, lookup=calls.answer_lookup
-        )
-        reloader = Reloader(path, load_settings, gateway.use_settings, events)
-        application = gateway.build(store, endpoints, [reloader])
-        application.on_reload.append(reloader.reload)
-        try:
-            return await serve(application)
-        finally:
-            lines.finish()
-
-    return run(body)
-
-
-RING_EVENTS = 2_000
-"""Latest events kept in memory; the log has them all."""
+    command = cappa.parse(GatewayCommand)
+    sys.exit(run_gateway(command.settings, check_only=command.check_settings))
 
 
 if __name__ == "__main__":
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -106,6 +106,12 @@
         assert self.head is not None
         return await self.head
 
+    async def wait_head(self, timeout_s: float) -> bool:
+        """Return whether the head has arrived, or never will, within a time."""
+        assert self.head is not None
+        done, _ = await asyncio.wait([self.head], timeout=timeout_s)
+        return bool(done)
+
     async def read_chunk(self) -> bytes:
         """Return the next part of the body, empty at its end."""
         while not self.chunks:
--- a/testing/coordination/test_dispatch.py
+++ b/testing/coordination/test_dispatch.py
@@ -73,7 +73,7 @@
 
 def release(dispatcher: Dispatcher, name: str = "one") -> None:
     known = dispatcher.fleet.instances[InstanceId(name)]
-    dispatcher.release(dispatcher.rooms.get(known), 0.1)
+    dispatcher.release(dispatcher.rooms.get(known))
 
 
 async def test_more_requests_than_slots_wait_for_the_end_of_one(dispatcher):
@@ -196,3 +196,17 @@
     dispatcher.rooms.get(first).latency_s = 3.0
     dispatcher.rooms.get(second).latency_s = 0.3
     assert await acquire(dispatcher, ticket(key="7")) == second.id
+
+
+async def test_full_instance_takes_a_request_only_while_its_queue_is_short(dispatcher):
+    await fill(dispatcher)
+    queued = [dispatcher.take_full(ticket()) for _ in range(SLOTS + 1)]
+    assert [one is None for one in queued] == [False] * SLOTS + [True]
+
+
+async def test_instance_that_turned_a_request_away_counts_as_full(dispatcher):
+    known = dispatcher.fleet.instances[InstanceId("one")]
+    dispatcher.rooms.report_full(dispatcher.rooms.get(known), boottime())
+    assert dispatcher.take_full(ticket()) is None
+    with pytest.raises(NoRoom):
+        await acquire(dispatcher, ticket(), 0.05)
--- a/testing/gateway/test_forward.py
+++ b/testing/gateway/test_forward.py
@@ -289,3 +289,30 @@
     for _ in range(5):
         await world.ask("/s/a", key="17")
     assert len({one.headers["expected-instance"] for one in received(world)}) == 1
+
+
+async def test_safe_request_leaves_an_instance_that_fell_silent(world):
+    for _ in range(4):
+        await world.ask("/s/a")
+    asked: list[str] = []
+
+    async def silent_once(instance, request, writer):
+        asked.append(instance.id)
+        await (never if len(asked) == 1 else answer_well)(instance, request, writer)
+
+    set_all(world, silent_once)
+    loop = asyncio.get_running_loop()
+    began = loop.time()
+    assert (await world.ask("/s/a")).status == 200
+    assert loop.time() - began < 1.5
+    assert sorted(asked) == ["s1", "s2"]
+
+
+async def test_unsafe_request_stays_with_a_silent_instance(world):
+    for _ in range(4):
+        await world.ask("/u/a", method="POST", body=b"x")
+    before = len(received(world))
+    set_all(world, never)
+    answer = await world.ask("/u/a", method="POST", body=b"x", remaining_ms=800)
+    assert answer.status == 504
+    assert len(received(world)) == before + 1
