Prefer the nearer of a key's instances when the objective is tight

Cause: stock-look wants an answer in 300 ms, of which a round trip to another region takes 70; connections for unsafe requests were opened for each second one. Change: where a far round trip takes over a fifth of the wanted latency, the nearer of the two instances comes first; unsafe requests take connections idle for up to 3 s; watches wait 1.8 s.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -21,8 +21,8 @@
 from masticdeck.ids import Revision
 from masticdeck.protocol.store import Change, KeyValue, Store
 
-WATCH_WAIT_S = 1.0
-"""Longest wait of a watch, so that the age of the copy stays near a second."""
+WATCH_WAIT_S = 1.8
+"""Longest wait of a watch, so that the age of the copy stays near two seconds."""
 
 PACE_S = 0.4
 """Least seconds between two answers of a watch, so that changes are batched."""
--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -5,9 +5,11 @@
 has ``COPIES`` instances in the whole system, the same at every entry, chosen by
 rendezvous hashing: when an instance comes or goes, only its own keys move.
 
-Requests without a key go by distance. Large answers come from the nearest
-instances only, because bytes between zones cost more than the work that a warm
-instance saves; they wait for room there rather than go further.
+Requests that want an answer in little more than a round trip to another region
+take the nearer of the two. Requests without a key go by distance. Large answers
+come from the nearest instances only, because bytes between zones cost more than
+the work that a warm instance saves; they wait for room there rather than go
+further.
 """
 
 from __future__ import annotations
@@ -24,6 +26,12 @@
 COPIES = 2
 """Instances that serve one key; more of them are cold for most keys."""
 
+TIGHT_PART = 0.2
+"""Part of the wanted latency from which a far round trip decides the choice."""
+
+TRIP_WEIGHT = 0.1
+"""Weight of a new round trip in the moving average."""
+
 MAX_CACHED_ORDERS = 20_000
 """Hash orders kept before the cache is emptied."""
 
@@ -45,6 +53,7 @@
         self.fleet = fleet
         self.zone = zone
         self.region = fleet.region_of[zone]
+        self.far_trip_s = 0.0
         self.epoch = -1
         self.orders: dict[tuple[ServiceId, str, bool], list[FleetInstance]] = {}
 
@@ -69,9 +78,19 @@
             and usable(instance)
         ]
         if route.kind is RouteKind.DOWNLOAD:
-            found = self.nearest(found)
+            return self.nearest(found)[:COPIES]
+        if self.far_trip_s > TIGHT_PART * route.objective_s:
+            return sorted(found[:COPIES], key=self.distance)
         return found[:COPIES]
 
+    def learn_trip(self, instance: FleetInstance, seconds: float) -> None:
+        """Take in the round trip that opening a connection took."""
+        if self.distance(instance) is not Distance.FAR:
+            return
+        if not self.far_trip_s:
+            self.far_trip_s = seconds
+        self.far_trip_s += TRIP_WEIGHT * (seconds - self.far_trip_s)
+
     def nearest(self, instances: list[FleetInstance]) -> list[FleetInstance]:
         """Return the first instances that are equally near."""
         if not instances:
--- a/src/masticdeck/transport/instance_pool.py
+++ b/src/masticdeck/transport/instance_pool.py
@@ -22,7 +22,7 @@
 IDLE_PART = 0.85
 """Part of an instance's idle time after which a connection is not used."""
 
-UNSAFE_IDLE_S = 1.0
+UNSAFE_IDLE_S = 3.0
 """Idle time after which a connection is not used for an unsafe request.
 
 A connection that the instance has dropped is reset by what is sent next, and
--- a/testing/coordination/test_placement.py
+++ b/testing/coordination/test_placement.py
@@ -128,3 +128,13 @@
 def test_instance_in_a_zone_without_a_region_is_left_out(fleet):
     fleet.put_instance(instance("x", "nowhere"))
     assert "x" not in place(fleet, "a1", build_route(sticky=False), None)
+
+
+def test_request_in_a_hurry_takes_the_nearer_of_its_two_instances(fleet):
+    placement = Placement(fleet, zone=ZoneId("a1"))
+    far = fleet.instances[InstanceId("b1-0")]
+    placement.learn_trip(far, 0.5)
+    for key in map(str, range(50)):
+        found = placement.candidates(build_route(), SERVICE, key, lambda one: True)
+        assert {one.id for one in found} == set(place(fleet, "a1", build_route(), key))
+        assert placement.distance(found[0]) <= placement.distance(found[1])
