Keep the keys of tight routes in the callers' region

Ruled out: waiting (16 ms on average) and repeats. Change: routes whose objective is tight against a measured far round trip have a key's instances in the region, as far as its slots are an equal part of all; the part depends on the fleet only, so load moves nothing between regions.

--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -6,16 +6,18 @@
 rendezvous hashing: when an instance comes or goes, only its own keys move.
 
 Requests that want an answer in little more than a round trip to another region
-take the nearer of the two. Requests without a key go by distance. Large answers
-come from the nearest instances only, because bytes between zones cost more than
-the work that a warm instance saves; they wait for room there rather than go
-further.
+have their two instances in the caller's region, as far as its instances bear its
+part of the requests; which keys these are changes only with the fleet, so that a
+burst moves nothing between regions. Requests without a key go by distance. Large
+answers come from the nearest instances only, because bytes between zones cost
+more than the work that a warm instance saves; they wait for room there rather
+than go further.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import IntEnum
+from enum import Enum, IntEnum
 
 import xxhash
 
@@ -29,8 +31,10 @@
 TIGHT_PART = 0.2
 """Part of the wanted latency from which a far round trip decides the choice."""
 
-TRIP_WEIGHT = 0.1
-"""Weight of a new round trip in the moving average."""
+REGION_MARGIN = 0.8
+"""Part of a region's share of the slots that its own keys are given."""
+
+HASH_RANGE = 1 << 64
 
 MAX_CACHED_ORDERS = 20_000
 """Hash orders kept before the cache is emptied."""
@@ -46,6 +50,14 @@
     FAR = 2
 
 
+class Scope(Enum):
+    """Where the instances of a key are chosen from."""
+
+    ANYWHERE = "anywhere"
+    REGION = "region"
+    ZONE = "zone"
+
+
 class Placement:
     """Orders the instances of a service for one request."""
 
@@ -55,7 +67,8 @@
         self.region = fleet.region_of[zone]
         self.far_trip_s = 0.0
         self.epoch = -1
-        self.orders: dict[tuple[ServiceId, str, bool], list[FleetInstance]] = {}
+        self.orders: dict[tuple[ServiceId, str, Scope], list[FleetInstance]] = {}
+        self.region_parts: dict[ServiceId, float] = {}
 
     def distance(self, instance: FleetInstance) -> Distance:
         """Return how far an instance is from this entry."""
@@ -70,26 +83,58 @@
         """Return the instances that may serve a request, the best first."""
         if key is None or not route.sticky:
             return self.by_distance(route, service, usable)
-        ordered = self.by_key(route, service, f"{route.prefix}{key}")
+        self.drop_outdated()
+        name = f"{route.prefix}{key}"
+        scope = self.scope(route, service, name)
         found = [
             instance
-            for instance in ordered
+            for instance in self.by_key(service, name, scope)
             if may_serve(route, self.fleet.region_of[instance.zone])
             and usable(instance)
         ]
-        if route.kind is RouteKind.DOWNLOAD:
+        if scope is Scope.ZONE:
             return self.nearest(found)[:COPIES]
-        if self.far_trip_s > TIGHT_PART * route.objective_s:
+        if self.is_tight(route):
             return sorted(found[:COPIES], key=self.distance)
         return found[:COPIES]
 
-    def learn_trip(self, instance: FleetInstance, seconds: float) -> None:
-        """Take in the round trip that opening a connection took."""
-        if self.distance(instance) is not Distance.FAR:
-            return
-        if not self.far_trip_s:
-            self.far_trip_s = seconds
-        self.far_trip_s += TRIP_WEIGHT * (seconds - self.far_trip_s)
+    def is_tight(self, route: Route) -> bool:
+        """Return whether a far round trip takes much of the wanted latency."""
+        return self.far_trip_s > TIGHT_PART * route.objective_s
+
+    def scope(self, route: Route, service: ServiceId, key: str) -> Scope:
+        """Return where the instances of a key are chosen from."""
+        if route.kind is RouteKind.DOWNLOAD:
+            return Scope.ZONE
+        if not self.is_tight(route):
+            return Scope.ANYWHERE
+        place = xxhash.xxh64_intdigest(key.encode()) / HASH_RANGE
+        return Scope.REGION if place < self.region_part(service) else Scope.ANYWHERE
+
+    def region_part(self, service: ServiceId) -> float:
+        """Return the part of its keys that this entry's region serves itself.
+
+        Regions are taken to have equal demand: a region whose slots are fewer
+        than an equal part of all serves fewer of its keys.
+        """
+        part = self.region_parts.get(service)
+        if part is None:
+            slots = total = 0
+            for instance in self.fleet.in_service(service):
+                total += instance.slots
+                if self.distance(instance) is not Distance.FAR:
+                    slots += instance.slots
+            regions = len(set(self.fleet.region_of.values()))
+            part = min(1.0, REGION_MARGIN * regions * slots / max(1, total))
+            self.region_parts[service] = part
+        return part
+
+    def drop_outdated(self) -> None:
+        """Forget what was worked out for another state of the fleet."""
+        if self.epoch != self.fleet.epoch or len(self.orders) > MAX_CACHED_ORDERS:
+            self.orders.clear()
+            self.region_parts.clear()
+            self.epoch = self.fleet.epoch
 
     def nearest(self, instances: list[FleetInstance]) -> list[FleetInstance]:
         """Return the first instances that are equally near."""
@@ -110,28 +155,27 @@
         ]
         return sorted(found, key=self.distance)
 
-    def by_key(self, route: Route, service: ServiceId, key: str) -> list[FleetInstance]:
-        """Return a service's instances in the hash order of a key.
-
-        For large answers the instances of this zone, or else of this region,
-        come first.
-        """
-        if self.epoch != self.fleet.epoch or len(self.orders) > MAX_CACHED_ORDERS:
-            self.orders.clear()
-            self.epoch = self.fleet.epoch
-        near = route.kind is RouteKind.DOWNLOAD
-        order = self.orders.get((service, key, near))
+    def by_key(self, service: ServiceId, key: str, scope: Scope) -> list[FleetInstance]:
+        """Return a service's instances in the hash order of a key, by scope first."""
+        order = self.orders.get((service, key, scope))
         if order is None:
             order = sorted(
                 self.fleet.in_service(service),
                 key=lambda instance: (
-                    self.distance(instance) if near else Distance.ZONE,
+                    self.scope_rank(instance, scope),
                     -rendezvous_weight(key, instance.id),
                 ),
             )
-            self.orders[service, key, near] = order
+            self.orders[service, key, scope] = order
         return order
 
+    def scope_rank(self, instance: FleetInstance, scope: Scope) -> int:
+        """Return 0 for instances inside a scope and more for those outside."""
+        if scope is Scope.ANYWHERE:
+            return 0
+        distance = self.distance(instance)
+        return distance if scope is Scope.ZONE else int(distance is Distance.FAR)
+
 
 def may_serve(route: Route, region: RegionId) -> bool:
     """Return whether a route's requests may run in a region."""
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -20,6 +20,7 @@
 from masticdeck.coordination.retries import SharedBudget
 from masticdeck.coordination.room import Rooms
 from masticdeck.coordination.roster import Roster
+from masticdeck.coordination.trips import TripMeter
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.directory import Directory
 from masticdeck.gateway.forwarder import Forwarder
@@ -115,9 +116,11 @@
             slack=settings.retry_slack,
             entries=self.count_entries,
         )
+        self.placement = Placement(self.fleet, zone=settings.zone)
+        self.trips = TripMeter(self.fleet, self.placement, events)
         self.dispatcher = Dispatcher(
             self.fleet,
-            Placement(self.fleet, zone=settings.zone),
+            self.placement,
             self.rooms,
             self.health,
             entries=self.count_entries,
@@ -151,6 +154,7 @@
             self.feed,
             self.peer_server,
             self.peer_feed,
+            self.trips,
             self.callers,
             serve_on(self.settings.readiness, endpoints.readiness),
             serve_on(self.settings.directory, endpoints.lookup),
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -170,13 +170,7 @@
         kept = None
         if AttemptEnd.STALE not in self.exchange.ends:
             kept = pool.take(self.instance, repeatable=self.exchange.route.idempotent)
-        if kept is not None:
-            return kept
-        began = boottime()
-        opened = await pool.open(self.instance)
-        placement = self.forwarder.dispatcher.placement
-        placement.learn_trip(self.instance, boottime() - began)
-        return opened
+        return kept if kept is not None else await pool.open(self.instance)
 
     def send(self, connection: InstanceConnection) -> None:
         """Send the request with the time left and the instance's id."""
