--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -38,8 +38,11 @@
 ACCEPT_AFTER_STOP_S = 2.5
 """How long callers with an older directory answer are still served."""
 
-EXIT_MARGIN_S = 0.5
-"""Time before the kill at which a stop no longer waits for requests."""
+EXIT_MARGIN_S = 0.8
+"""Time before the kill at which a stop no longer waits for requests.
+
+What follows takes a small VM some tenths of a second.
+"""
 
 STOP_POLL_S = 0.05
 """Seconds between checks whether the last request has ended."""
@@ -187,13 +190,14 @@
         began = boottime()
         self.directory.leaving = True
         self.events.emit(Code.ENTRY_LEAVING, in_flight=self.callers.in_flight)
-        await self.roster.leave()
+        unregistering = asyncio.create_task(self.roster.leave())
         self.callers.begin_close()
         await asyncio.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (boottime() - began)))
         self.callers.stop_listening()
         last = began + self.settings.stop_grace_s - EXIT_MARGIN_S
         while self.callers.in_flight and boottime() < last:
             await asyncio.sleep(STOP_POLL_S)
+        unregistering.cancel()
         self.events.emit(Code.ENTRY_FINISHED, in_flight=self.callers.in_flight)
 
     async def answer_metrics(self, request: InboundRequest) -> None:
--- a/src/masticdeck/logs.py
+++ b/src/masticdeck/logs.py
@@ -96,10 +96,17 @@
         return json.dumps(fields)
 
     def write_lines(self) -> None:
-        """Write buffered lines until the process ends; runs in the thread."""
-        while not self.stopping.wait(FLUSH_S):
+        """Write buffered lines until the process or its reader ends.
+
+        Runs in the thread. Without a reader further lines fill the buffer and
+        are then counted as left out.
+        """
+        try:
+            while not self.stopping.wait(FLUSH_S):
+                self.flush_lines()
             self.flush_lines()
-        self.flush_lines()
+        except (OSError, ValueError):
+            self.stopping.set()
 
     def flush_lines(self) -> None:
         """Write what is buffered."""
--- /dev/null
+++ b/testing/programs/test_gateway.py
@@ -0,0 +1,238 @@
+"""``masticdeck-gateway`` as a process: settings, signals and its end."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import signal
+import sys
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import pytest
+import yaml
+
+from testing.gateway.world import (
+    World,
+    configuration,
+    read_answer,
+    route,
+    settings_fields,
+)
+from testing.platform.standin_instance import StandinInstance, answer_well
+from testing.platform.standin_store import StandinStore
+
+ROOT = Path(__file__).resolve().parents[2]
+WAIT_S = 20.0
+
+
+class Process:
+    """One gateway process with its settings file."""
+
+    def __init__(self, path: Path, fields: dict) -> None:
+        self.path = path
+        self.fields = fields
+        self.lines: list[dict] = []
+        self.process: asyncio.subprocess.Process | None = None
+        self.reader: asyncio.Task[None] | None = None
+        self.write()
+
+    def write(self) -> None:
+        """Write the settings file."""
+        self.path.write_text(yaml.safe_dump(self.fields))
+
+    async def start(self, *arguments: str) -> None:
+        """Start the process."""
+        environment = {
+            **os.environ,
+            "MASTICDECK_CONFIG": str(self.path),
+            "PYTHONPATH": str(ROOT / "src"),
+        }
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "masticdeck.programs.gateway",
+            *arguments,
+            env=environment,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=asyncio.subprocess.PIPE,
+        )
+        self.reader = asyncio.create_task(self.read())
+
+    async def read(self) -> None:
+        """Keep the lines of the log."""
+        async for line in self.process.stdout:
+            if line.startswith(b"{"):
+                self.lines.append(json.loads(line))
+
+    async def wait_for(self, event: str, count: int = 1) -> dict:
+        """Wait until an event was logged some times; return the last one."""
+        async with asyncio.timeout(WAIT_S):
+            while True:
+                found = [one for one in self.lines if one.get("event") == event]
+                if len(found) >= count:
+                    return found[count - 1]
+                await asyncio.sleep(0.02)
+
+    async def end(self) -> int:
+        """Wait for the process to end and return its status."""
+        async with asyncio.timeout(WAIT_S):
+            return await self.process.wait()
+
+    async def kill(self) -> None:
+        """End the process if it runs."""
+        if self.process is not None and self.process.returncode is None:
+            self.process.kill()
+            await self.process.wait()
+        if self.reader is not None:
+            await self.reader
+
+
+@pytest.fixture
+async def store() -> AsyncIterator[StandinStore]:
+    store = StandinStore()
+    await store.start()
+    yield store
+    await store.stop()
+
+
+@pytest.fixture
+async def instance(store) -> AsyncIterator[StandinInstance]:
+    instance = StandinInstance("s1", "s")
+    await instance.start()
+    routes = [route("/s/", "safe", "s", timeout="5s")]
+    store.write("op/config", configuration(1, routes))
+    store.write("servers/s1", instance.record())
+    yield instance
+    await instance.stop()
+
+
+@pytest.fixture
+async def process(tmp_path, store, instance) -> AsyncIterator[Process]:
+    process = Process(tmp_path / "local.yaml", settings_fields(store.address))
+    yield process
+    await process.kill()
+
+
+async def connect(process: Process):
+    host, _, port = process.fields["listen_addresses"]["frontend"].rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def get(address: str, target: str):
+    """Send one request to an address and return the answer."""
+    host, _, port = address.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+    answer = await read_answer(reader)
+    writer.close()
+    return answer
+
+
+async def test_process_serves_answers_the_directory_and_tells_its_readiness(process):
+    await process.start()
+    await process.wait_for("feed_loaded")
+    listen = process.fields["listen_addresses"]
+    assert (await get(listen["ready"], "/-/readiness")).status == 200
+    answer = await get(
+        listen["directory"], "/-/resolve?name=a&region=vidzeme&zone=cesis-a"
+    )
+    assert json.loads(answer.body) == {
+        "addresses": [listen["frontend"]],
+        "ttl": "2000ms",
+    }
+    first = process.fields["internal_ports"][0]
+    metrics = await get(f"127.0.0.1:{first + 1}", "/metrics")
+    assert b"masticdeck_view_age_seconds" in metrics.body
+
+
+async def test_planned_stop_under_load_cuts_no_request_and_exits_with_zero(
+    process, instance
+):
+    async def slow(one, request, writer):
+        await asyncio.sleep(1.0)
+        await answer_well(one, request, writer)
+
+    instance.act = slow
+    await process.start()
+    await process.wait_for("feed_loaded")
+    world = World(stack=None)
+    reader, writer = await connect(process)
+    writer.write(world.request_bytes("/s/a"))
+    async with asyncio.timeout(WAIT_S):
+        await instance.arrived.wait()
+    process.process.send_signal(signal.SIGTERM)
+    answer = await read_answer(reader)
+    assert (answer.status, answer.headers["connection"]) == (200, "close")
+    ready = process.fields["listen_addresses"]["ready"]
+    assert (await get(ready, "/-/readiness")).status == 503
+    assert await process.end() == 0
+    assert (await process.wait_for("entry_finished"))["fields"]["in_flight"] == "0"
+    writer.close()
+
+
+async def test_stop_ends_the_registration(process, store):
+    await process.start()
+    await process.wait_for("entry_registered")
+    key = "masticdeck/entries/entry-1"
+    assert key in store.items
+    process.process.send_signal(signal.SIGTERM)
+    await process.wait_for("entry_unregistered")
+    assert key not in store.items
+
+
+async def test_second_sigterm_changes_nothing(process):
+    await process.start()
+    await process.wait_for("feed_loaded")
+    for _ in range(3):
+        process.process.send_signal(signal.SIGTERM)
+        await asyncio.sleep(0.1)
+    assert await process.end() == 0
+
+
+async def test_reload_takes_in_changed_settings_and_keeps_them_when_faulty(process):
+    await process.start()
+    await process.wait_for("feed_loaded")
+    process.fields["bounds"]["retry_budget_ratio"] = 0.1
+    process.write()
+    process.process.send_signal(signal.SIGHUP)
+    reloaded = await process.wait_for("settings_reloaded")
+    assert reloaded["fields"]["changed"] == "retry_ratio"
+    process.fields["zone"] = 5
+    process.write()
+    process.process.send_signal(signal.SIGHUP)
+    await process.wait_for("settings_rejected")
+    ready = process.fields["listen_addresses"]["ready"]
+    assert (await get(ready, "/-/readiness")).status == 200
+
+
+async def test_changed_file_is_taken_in_without_a_signal(process):
+    await process.start()
+    await process.wait_for("feed_loaded")
+    process.fields["bounds"]["budget_slack"] = 7
+    process.write()
+    reloaded = await process.wait_for("settings_reloaded")
+    assert reloaded["fields"]["changed"] == "retry_slack"
+
+
+async def test_store_that_is_away_at_the_start_is_waited_for(process, store):
+    store.refuse_with = 503
+    await process.start()
+    await process.wait_for("feed_failed")
+    ready = process.fields["listen_addresses"]["ready"]
+    assert (await get(ready, "/-/readiness")).status == 503
+    store.refuse_with = None
+    await process.wait_for("version_in_force")
+    assert (await get(ready, "/-/readiness")).status == 200
+
+
+async def test_faulty_settings_are_all_named_and_end_the_program(process):
+    process.fields["node_name"] = 5
+    process.fields["zone"] = []
+    process.write()
+    await process.start("--check-settings")
+    assert await process.end() == 1
+    text = (await process.process.stderr.read()).decode()
+    assert "entry" in text
+    assert "zone" in text
