--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -24,6 +24,7 @@
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.directory import Directory
 from masticdeck.gateway.forwarder import Forwarder
+from masticdeck.gateway.inspection import Inspection
 from masticdeck.gateway.settings import Address, GatewaySettings
 from masticdeck.metrics import Metrics
 from masticdeck.protocol.dialect import Dialect
@@ -161,7 +162,7 @@
             self.callers,
             serve_on(self.settings.readiness, endpoints.readiness),
             serve_on(self.settings.directory, endpoints.lookup),
-            serve_on(self.settings.metrics, self.answer_metrics),
+            serve_on(self.settings.metrics, Inspection(self).answer),
             self.roster,
             *others,
         ]
@@ -200,19 +201,6 @@
         unregistering.cancel()
         self.events.emit(Code.ENTRY_FINISHED, in_flight=self.callers.in_flight)
 
-    async def answer_metrics(self, request: InboundRequest) -> None:
-        """Answer a scrape in the usual text format."""
-        now = boottime()
-        self.metrics.gauge("view_age_seconds", self.copy.age_s(now))
-        self.metrics.gauge("instances", len(self.fleet.instances))
-        self.metrics.gauge("entries", len(self.directory.entries()))
-        self.metrics.gauge("requests_in_flight", self.callers.in_flight)
-        self.metrics.gauge("connections_opened", self.pool.opened)
-        waiting = sum(len(queue) for queue in self.dispatcher.waiting.values())
-        self.metrics.gauge("requests_waiting", waiting)
-        headers = [(b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8")]
-        request.connection.send_whole(200, headers, self.metrics.render())
-
 
 def serve_on(
     address: Address,
--- a/src/masticdeck/programs/ctl_client.py
+++ b/src/masticdeck/programs/ctl_client.py
@@ -147,3 +147,16 @@
     except ValueError:
         problem = None
     return problem if isinstance(problem, dict) else {"detail": text[:200]}
+
+
+async def fetch_fleet(url: str, timeout_s: float) -> dict[str, Any]:
+    """Return what an entry on a live fleet believes; raises NoEntryReached."""
+    try:
+        async with (
+            ClientSession(timeout=ClientTimeout(total=timeout_s)) as session,
+            session.get(f"{url}/fleet") as response,
+        ):
+            view: dict[str, Any] = await response.json()
+            return view
+    except (ClientError, OSError, TimeoutError, ValueError) as error:
+        raise NoEntryReached(f"{url}: {error or type(error).__name__}") from None
--- a/src/masticdeck/programs/ctl_commands.py
+++ b/src/masticdeck/programs/ctl_commands.py
@@ -29,11 +29,13 @@
     EXIT_VETOED,
     NoEntryReached,
     Refused,
+    fetch_fleet,
 )
 from masticdeck.programs.ctl_lists import open_folder, write_folder
 from masticdeck.programs.ctl_options import Ctl
 from masticdeck.programs.ctl_output import (
     format_changes,
+    format_fleet,
     format_json,
     format_outcome,
     format_proposals,
@@ -214,6 +216,20 @@
     )
 
 
+@runners.register("Fleet")
+async def fleet(ctl: Ctl, command: options.Fleet) -> int:
+    """Show what entries on a live fleet believe."""
+    urls = [url.rstrip("/") for url in ctl.entry]
+    if not urls:
+        raise SettingsInvalid("name a metrics address by --entry")
+    views = [await fetch_fleet(url, ctl.timeout_s) for url in urls]
+    ctl.show(
+        {"entries": views},
+        "\n\n".join(format_fleet(view, command.service) for view in views),
+    )
+    return EXIT_OK
+
+
 @runners.register("Drain")
 async def drain(ctl: Ctl, command: options.Drain) -> int:
     """Drain an instance or an entry, or list the drains."""
--- a/src/masticdeck/programs/ctl_options.py
+++ b/src/masticdeck/programs/ctl_options.py
@@ -125,6 +125,16 @@
     """Ask every entry; exits with 9 when one fails or they differ."""
 
 
+@cappa.command(help="Show routes, instances and budgets as an entry sees them.")
+@dataclass(frozen=True)
+class Fleet:
+    """Ask the metrics addresses of entries on a live fleet."""
+
+    service: Annotated[
+        str | None, cappa.Arg(long=True, help="only this service's instances")
+    ] = None
+
+
 @cappa.command(help="Drain an instance or an entry, list the drains without an id.")
 @dataclass(frozen=True)
 class Drain:
@@ -165,6 +175,7 @@
     | Watch
     | History
     | Status
+    | Fleet
     | Drain
     | Schema
     | Completion
--- a/src/masticdeck/programs/ctl_output.py
+++ b/src/masticdeck/programs/ctl_output.py
@@ -111,3 +111,32 @@
 def short(value: Any) -> str:
     """Return a value on one line."""
     return value if isinstance(value, str) else json.dumps(value)
+
+
+def format_fleet(view: dict[str, Any], service: str | None = None) -> str:
+    """Return what an entry on a live fleet believes, of one service or of all."""
+    columns = ["service", "instance", "zone", "slots", "own", "others", "excluded"]
+    instances = sorted(
+        (one for one in view["instances"] if service in (None, one["service"])),
+        key=lambda one: (one["service"], one["instance"]),
+    )
+    routes = [
+        [one["host"], one["prefix"], one["kind"], one["priority"], split_text(one)]
+        for one in view["routes"]
+        if service is None or service in one["services"]
+    ]
+    head = (
+        f"{view['entry']}: version {view['version']}, revision {view['revision']}, "
+        f"current {view['age_s']} s ago, {len(view['entries'])} entries"
+    )
+    rows = [[one[column] for column in columns] for one in instances]
+    route_columns = ["host", "prefix", "kind", "priority", "services"]
+    return "\n".join(
+        [head, format_table(route_columns, routes), format_table(columns, rows)]
+    )
+
+
+def split_text(route: dict[str, Any]) -> str:
+    """Return a route's services with their weights."""
+    parts = route["services"].items()
+    return ", ".join(f"{name} {weight:g}" for name, weight in parts)
--- a/src/masticdeck/programs/timeline.py
+++ b/src/masticdeck/programs/timeline.py
@@ -16,7 +16,12 @@
 from masticdeck.events import Code, Event
 from masticdeck.programs.runtime import EXIT_OK, run
 from masticdeck.programs.timeline_page import render_page
-from masticdeck.protocol.event_feed import decode_events, encode_events, fetch_events
+from masticdeck.protocol.event_feed import (
+    decode_events,
+    decode_log,
+    encode_events,
+    fetch_events,
+)
 from masticdeck.state.deployment import load_deployment
 from masticdeck.state.timeline import Filter, Timeline, lines
 
@@ -40,6 +45,9 @@
     load: Annotated[
         list[Path], cappa.Arg(long=True, help="read events that --save wrote")
     ] = field(default_factory=list)
+    log: Annotated[
+        list[Path], cappa.Arg(long=True, help="read a log of JSON lines as it is")
+    ] = field(default_factory=list)
     request: Annotated[
         str | None, cappa.Arg(long=True, help="only this request's events")
     ] = None
@@ -87,12 +95,14 @@
         deployment = load_deployment(command.deployment)
         urls += [entry.url for entry in deployment.entries]
         zones = {entry.id: entry.zone for entry in deployment.entries}
-    if not urls and not command.load:
-        raise SettingsInvalid("name a --deployment, a --url or a file to --load")
+    if not (urls or command.load or command.log):
+        raise SettingsInvalid("name a --deployment, a --url, a --log or a --load file")
     chosen = make_filter(command, zones)
     timeline = Timeline()
     for path in command.load:
         timeline.add(decode_events(path.read_bytes()))
+    for path in command.log:
+        timeline.add(decode_log(path.read_bytes()))
     async with ClientSession() as session:
         await collect(session, urls, timeline)
         events = timeline.ordered(chosen)
--- a/src/masticdeck/protocol/event_feed.py
+++ b/src/masticdeck/protocol/event_feed.py
@@ -49,6 +49,23 @@
             raise EventFeedInvalid(f"line {number}") from None
 
 
+def decode_log(body: bytes) -> Iterator[Event]:
+    """Yield the events of a process's log of JSON lines.
+
+    Text before the first brace of a line, which log collectors add, and lines
+    that are no events are passed over.
+    """
+    known = {code.value: code for code in Code}
+    for row in body.splitlines():
+        try:
+            line = json.loads(row[row.index(b"{") :])
+            code = known[line["code"]]
+            texts = {str(name): str(value) for name, value in line["fields"].items()}
+            yield Event(int(line["stamp"]), str(line["process"]), code, texts)
+        except (ValueError, TypeError, KeyError, AttributeError):
+            continue
+
+
 def select_events(ring: Iterable[Event], after: int) -> list[Event]:
     """Return the oldest events past a stamp, at most EVENTS_PER_ANSWER."""
     chosen = [event for event in ring if event.stamp > after]
--- a/testing/test_timeline.py
+++ b/testing/test_timeline.py
@@ -10,6 +10,7 @@
 from masticdeck.protocol.event_feed import (
     EventFeedInvalid,
     decode_events,
+    decode_log,
     encode_events,
     select_events,
 )
@@ -79,3 +80,15 @@
         assert await fleet.processes["timeline"].wait() == 0
         assert "entry-1" in fleet.log("timeline")
         assert "<svg" in page.read_text(encoding="utf-8")
+
+
+def test_log_lines_of_a_process_are_read_as_they_are():
+    line = (
+        b'{"time": 1.5, "level": "info", "event": "request_sent", "code": 501, '
+        b'"process": "entry-1", "stamp": 77, "fields": {"request": "r1"}}'
+    )
+    body = b"\n".join(
+        [line, b"12.5 host " + line, b'{"event": "lines_left_out"}', b"x"]
+    )
+    event = Event(77, "entry-1", Code.REQUEST_SENT, {"request": "r1"})
+    assert list(decode_log(body)) == [event, event]
