--- /dev/null
+++ b/scripts/gateway_mutants.py
@@ -0,0 +1,118 @@
+"""The mechanisms of an entry on a live fleet, each with its test."""
+
+from __future__ import annotations
+
+from scripts.mutant import Mutant
+
+SOURCE = "src/masticdeck"
+FORWARD = "testing/gateway/test_forward.py"
+CHANGES = "testing/gateway/test_fleet_changes.py"
+
+GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a shift of traffic stays under its cap",
+        mechanism="the part of a region's own keys depends on the fleet only",
+        file=f"{SOURCE}/coordination/placement.py",
+        old="min(1.0, REGION_MARGIN * regions * slots / max(1, total))",
+        new="min(1.0, REGION_MARGIN * regions)",
+        test="testing/coordination/test_placement.py"
+        "::test_region_with_few_slots_keeps_few_of_its_keys",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="requests of other entries count at an instance",
+        file=f"{SOURCE}/coordination/room.py",
+        old="        room.others = max(0, use.running + use.waiting - room.own)",
+        new="        room.others = 0",
+        test="testing/coordination/test_dispatch.py"
+        "::test_requests_of_other_entries_count_while_their_report_is_fresh",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="cold instances get a part of their rate",
+        file=f"{SOURCE}/coordination/room.py",
+        old="        room.cold_credit -= 1.0",
+        new="        pass",
+        test="testing/coordination/test_dispatch.py"
+        "::test_cold_instance_gets_this_entrys_part_of_its_rate",
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="a reset beside the data is not an end",
+        file=f"{SOURCE}/transport/http1_client.py",
+        old="            if self.was_reset():",
+        new="            if False:",
+        test="testing/transport/test_http1_client.py"
+        "::test_answer_without_length_is_broken_by_a_reset_beside_its_data",
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="answers with another id are dropped",
+        file=f"{SOURCE}/gateway/attempt.py",
+        old="        return marks.request_id in (None, self.exchange.marks.id)",
+        new="        return True",
+        test=f"{FORWARD}::test_answer_to_another_request_is_not_passed_on",
+    ),
+    Mutant(
+        promise="a refusal that says not run is true",
+        mechanism="only proofs make a refusal",
+        file=f"{SOURCE}/gateway/exchange.py",
+        old="        if all(end.proves_not_run for end in self.ends):",
+        new="        if True:",
+        test=f"{FORWARD}"
+        "::test_unsafe_request_of_unknown_outcome_runs_once_and_is_no_refusal",
+    ),
+    Mutant(
+        promise="an order runs at most once",
+        mechanism="unsafe requests are repeated after a proof only",
+        file=f"{SOURCE}/gateway/exchange.py",
+        old="        if not self.route.idempotent and not end.proves_not_run:",
+        new="        if False:",
+        test=f"{FORWARD}"
+        "::test_unsafe_request_of_unknown_outcome_runs_once_and_is_no_refusal",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="draining instances are left out",
+        file=f"{SOURCE}/state/fleet.py",
+        old="instance.state is InstanceState.READY\n",
+        new="True\n",
+        test=f"{CHANGES}::test_draining_instance_gets_nothing_more",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="a source with an old copy is left",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old="                if part.age_s > OLDEST_PART_S:",
+        new="                if False:",
+        test="testing/coordination/test_feed_peers.py"
+        "::test_follower_of_a_source_with_an_old_copy_takes_another",
+    ),
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="the stop waits for requests in flight",
+        file=f"{SOURCE}/gateway/app.py",
+        old="        await asyncio.sleep(max(0.0, ACCEPT_AFTER_STOP_S - "
+        "(boottime() - began)))",
+        new="        return",
+        test="testing/programs/test_gateway.py"
+        "::test_planned_stop_under_load_cuts_no_request_and_exits_with_zero",
+    ),
+    Mutant(
+        promise="an accepted configuration never reverts",
+        mechanism="an older route table is not put in force",
+        file=f"{SOURCE}/state/fleet.py",
+        old="routes.version <= self.routes.version:",
+        new="routes.version < 0:",
+        test=f"{CHANGES}::test_route_follows_a_new_version_and_never_an_older_one",
+    ),
+    Mutant(
+        promise="an accepted configuration is in force everywhere within seconds",
+        mechanism="a waiting request follows the fleet",
+        file=f"{SOURCE}/coordination/placement.py",
+        old="        if self.epoch != self.fleet.epoch or len(self.orders)",
+        new="        if self.epoch < 0 or len(self.orders)",
+        test="testing/coordination/test_placement.py"
+        "::test_keys_leave_an_evacuated_zone",
+    ),
+)
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -72,6 +72,8 @@
         return
     name, began = entry.incarnation, time.monotonic()
     world.ledger.planned_stops[name] = (began, began + GRACE_S)
+    if not await world.is_ready(entry):
+        world.ledger.early_stops.add(name)
     entry.send(signal.SIGTERM)
     if world.random.random() < 0.3:
         await asyncio.sleep(0.2)
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import signal
 from collections import Counter, defaultdict
 from dataclasses import dataclass, field
 
@@ -46,6 +47,7 @@
     planned_stops: dict[str, tuple[float, float]] = field(default_factory=dict)
     killed: set[str] = field(default_factory=set)
     exits: dict[str, int] = field(default_factory=dict)
+    early_stops: set[str] = field(default_factory=set)
 
     def calm(self, since: float, until: float) -> bool:
         """Return whether no fault touched a span."""
@@ -116,11 +118,16 @@
         return found
 
     def bad_stops(self) -> list[str]:
-        """A planned stop ends in time with status 0 and cuts no request."""
+        """A planned stop ends in time with status 0 and cuts no request.
+
+        A process that was not ready yet may also end by the signal itself.
+        """
         found = [
             f"STOP {name} ended with {status}"
             for name, status in self.exits.items()
-            if name in self.planned_stops and name not in self.killed and status != 0
+            if name not in self.killed
+            and status != 0
+            and not (status == -signal.SIGTERM and name in self.early_stops)
         ]
         began = defaultdict(list)
         for one in self.ran:
--- a/testing/coordination/test_placement.py
+++ b/testing/coordination/test_placement.py
@@ -188,3 +188,11 @@
     for _ in range(10_000):
         places_of(hurried, 7)
     assert [places_of(hurried, key) for key in range(100)] == before
+
+
+def test_keys_leave_an_evacuated_zone(fleet):
+    placement = Placement(fleet, zone=ZoneId("a1"))
+    assert any("b1" in one for key in range(50) for one in places_of(placement, key))
+    fleet.begin_evacuation(ZoneId("b1"))
+    for key in range(50):
+        assert not any("b1" in one for one in places_of(placement, key))
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -90,6 +90,14 @@
         "STOP",
         id="stop that failed",
     ),
+    pytest.param(
+        ledger(asked(), exits={"entry-0#1": -15}), "STOP", id="stop by the signal"
+    ),
+    pytest.param(
+        ledger(asked(), exits={"entry-0#1": -15}, early_stops={"entry-0#1"}),
+        None,
+        id="stop by the signal before it was ready",
+    ),
 ]
 
 
