--- a/soak/proxy.py
+++ b/soak/proxy.py
@@ -115,5 +115,8 @@
 def reset(writer: asyncio.StreamWriter) -> None:
     """Close a connection with a reset."""
     sock = writer.get_extra_info("socket")
+    if sock is None:
+        # The transport has closed the socket already.
+        return
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, NO_LINGER)
     writer.transport.abort()
