Ask an unwell store less often, and bound the bodies held in memory

Change: attempts double up to 2.4 s with jitter; 64 MB for the bodies of all connections together, refused beyond.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -76,11 +76,16 @@
     def repeated_runs(self) -> list[str]:
         """An unsafe request runs once at most, and only if it was asked."""
         counts = Counter(one.id for one in self.ran)
-        return [
+        unknown = [
+            f"UNASKED {one.id!r} {one.target} at {one.instance}"
+            for one in self.ran
+            if one.id not in self.asked
+        ]
+        return unknown + [
             f"TWICE {name} ran {count} times"
             for name, count in counts.items()
-            if count > 1 and self.asked[name].unsafe
-        ] + [f"UNASKED {name}" for name in counts if name not in self.asked]
+            if count > 1 and name in self.asked and self.asked[name].unsafe
+        ]
 
     def false_refusals(self) -> list[str]:
         """A refused unsafe request never ran."""
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import random
 from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -30,7 +31,7 @@
 RETRY_S = 0.3
 """Seconds before the second attempt while the store does not answer."""
 
-MOST_RETRY_S = 1.0
+MOST_RETRY_S = 2.4
 """Longest wait between attempts; each doubles the one before."""
 
 UNWANTED_CHECK_S = 0.2
@@ -235,7 +236,7 @@
             except Exception as error:
                 # The feed outlives every answer, also one that nobody foresaw.
                 self.note_failure(error)
-                await asyncio.sleep(self.retry_s)
+                await asyncio.sleep(self.retry_s * random.uniform(0.5, 1.0))
                 self.retry_s = min(MOST_RETRY_S, 2 * self.retry_s)
 
     async def step(self) -> None:
--- a/src/masticdeck/coordination/roster.py
+++ b/src/masticdeck/coordination/roster.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 
 from masticdeck.clock import boottime
@@ -27,7 +28,10 @@
 """Renewals after which a record that nobody sees is written anew."""
 
 RETRY_S = 0.3
-"""Seconds between attempts while the store does not answer."""
+"""Seconds before the second attempt while the store does not answer."""
+
+MOST_RETRY_S = 2.4
+"""Longest wait between attempts; each doubles the one before."""
 
 
 class Roster:
@@ -46,6 +50,7 @@
         self.entry = entry
         self.events = events
         self.lease: LeaseId | None = None
+        self.retry_s = RETRY_S
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
@@ -80,9 +85,15 @@
         while True:
             try:
                 await self.register()
+                self.retry_s = RETRY_S
                 await self.renew()
             except MasticdeckError:
-                await asyncio.sleep(RETRY_S)
+                await self.wait_to_retry()
+
+    async def wait_to_retry(self) -> None:
+        """Wait before the next attempt, longer each time and not all at once."""
+        await asyncio.sleep(self.retry_s * random.uniform(0.5, 1.0))
+        self.retry_s = min(MOST_RETRY_S, 2 * self.retry_s)
 
     async def register(self) -> None:
         """Write the record under a new lease."""
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -32,6 +32,9 @@
 LINGER_S = 1.0
 """How long the rest of a rejected request is read before the connection closes."""
 
+MOST_BODY_BYTES = 67_108_864
+"""Bytes of bodies being read on all connections; more would exhaust a small VM."""
+
 TICK_S = 0.5
 """Seconds between checks of a connection's time limits."""
 
@@ -76,6 +79,7 @@
         self.reading: InboundRequest | None = None
         self.parts: list[bytes] = []
         self.body_bytes = 0
+        self.held_bytes = 0
         self.head_bytes = 0
         self.head_done = False
         self.waiting: deque[InboundRequest] = deque()
@@ -127,6 +131,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what is done for the caller."""
         self.closed = True
+        self.let_go(self.held_bytes)
         self.writable.set()
         self.server.connections.discard(self)
         self.waiting.clear()
@@ -189,6 +194,11 @@
         if self.body_bytes > self.limits.max_body_bytes:
             self.reject(413)
             return
+        if self.server.body_bytes + len(body) > MOST_BODY_BYTES:
+            self.reject(503)
+            return
+        self.server.body_bytes += len(body)
+        self.held_bytes += len(body)
         self.parts.append(body)
 
     def on_message_complete(self) -> None:
@@ -255,6 +265,13 @@
         finally:
             self.server.in_flight -= 1
             self.answering = False
+            self.let_go(len(request.body))
+
+    def let_go(self, size: int) -> None:
+        """Give back the room of bodies that are not needed any more."""
+        size = min(size, self.held_bytes)
+        self.held_bytes -= size
+        self.server.body_bytes -= size
 
     async def close_after_answer(self) -> None:
         """Close once the answer is out, without resetting it."""
@@ -374,6 +391,7 @@
         self.limits = limits
         self.connections: set[CallerConnection] = set()
         self.in_flight = 0
+        self.body_bytes = 0
         self.closing = False
         self.server: asyncio.Server | None = None
         self.ticker: asyncio.Task[None] | None = None
--- a/testing/gateway/test_forward.py
+++ b/testing/gateway/test_forward.py
@@ -7,6 +7,7 @@
 import pytest
 
 from masticdeck.events import Code
+from masticdeck.transport import http1_server
 from testing.gateway.world import read_answer, route
 from testing.platform.standin_instance import answer_well
 
@@ -316,3 +317,14 @@
     answer = await world.ask("/u/a", method="POST", body=b"x", remaining_ms=800)
     assert answer.status == 504
     assert len(received(world)) == before + 1
+
+
+async def test_body_beyond_the_memory_of_all_bodies_is_refused(world, monkeypatch):
+    monkeypatch.setattr(http1_server, "MOST_BODY_BYTES", 1000)
+    answer = await world.ask("/u/a", method="POST", body=b"x" * 1500)
+    assert answer.status == 503
+    assert received(world) == []
+    for _ in range(3):
+        answer = await world.ask("/u/a", method="POST", body=b"x" * 900)
+        assert answer.status == 200
+    assert world.gateway.callers.body_bytes == 0
