Keep one copy of background tasks and of what stores share

Change: components that are one task derive from BackgroundTask; both clients of a store share the events of outages and the decoding of items; what nobody called is removed.

--- a/src/masticdeck/application.py
+++ b/src/masticdeck/application.py
@@ -80,3 +80,23 @@
                     error=repr(error),
                 )
         self.events.emit(Code.PROCESS_STOPPED)
+
+
+class BackgroundTask:
+    """A component that is one task; a subclass says in ``run`` what it does."""
+
+    def __init__(self) -> None:
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Begin the task; does not wait for anything that it does."""
+        self.task = asyncio.create_task(self.run())
+
+    async def stop(self) -> None:
+        """Cancel the task."""
+        if self.task is not None:
+            self.task.cancel()
+
+    async def run(self) -> None:
+        """Work until the task is cancelled."""
+        raise NotImplementedError
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass
 from typing import Protocol, final
 
+from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
 from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
@@ -53,9 +54,6 @@
         ``lapsed`` tells that the deletion may come from the store's absence.
         """
 
-    def contact_restored(self, now: float) -> None:
-        """Learn that the records are current again after an outage."""
-
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -118,7 +116,6 @@
             return
         if OUTAGE_S < now - self.confirmed_at < float("inf"):
             self.restored_at = now
-            self.listener.contact_restored(now)
         self.confirmed_at = at
 
     def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
@@ -190,7 +187,7 @@
             self.confirm(now - part.age_s, now)
 
 
-class StoreFeed:
+class StoreFeed(BackgroundTask):
     """Follows the store itself."""
 
     def __init__(
@@ -201,6 +198,7 @@
         *,
         wanted: Callable[[], bool] = lambda: True,
     ) -> None:
+        super().__init__()
         self.store = store
         self.copy = copy
         self.events = events
@@ -208,16 +206,6 @@
         self.listed = False
         self.failing = False
         self.retry_s = RETRY_S
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to follow; does not wait for the first listing."""
-        self.task = asyncio.create_task(self.run())
-
-    async def stop(self) -> None:
-        """End following."""
-        if self.task is not None:
-            self.task.cancel()
 
     async def run(self) -> None:
         """Follow for as long as the process runs, through every failure."""
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -16,6 +16,7 @@
 import xxhash
 from grpclib.client import Channel
 
+from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
 from masticdeck.coordination.feed import FeedPart, RecordCopy, StoreFeed
 from masticdeck.events import Code, EventLog
@@ -101,7 +102,7 @@
             await self.copy.wait_newer(sent, KEEP_ALIVE_S)
 
 
-class PeerFeed:
+class PeerFeed(BackgroundTask):
     """Follows another entry's copy while this entry does not follow the store."""
 
     def __init__(
@@ -113,22 +114,13 @@
         *,
         seed: int | None = None,
     ) -> None:
+        super().__init__()
         self.copy = copy
         self.store_feed = store_feed
         self.watchers = watchers
         self.events = events
         self.random = random.Random(seed)
         self.last: EntryId | None = None
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to look whether another entry's copy is needed."""
-        self.task = asyncio.create_task(self.run())
-
-    async def stop(self) -> None:
-        """End following."""
-        if self.task is not None:
-            self.task.cancel()
 
     async def run(self) -> None:
         """Follow one source after the other while that is needed."""
--- a/src/masticdeck/coordination/fleet_view.py
+++ b/src/masticdeck/coordination/fleet_view.py
@@ -5,7 +5,7 @@
 import asyncio
 import json
 import logging
-from typing import Any
+from collections.abc import Callable
 
 from masticdeck.clock import boottime
 from masticdeck.events import Code, EventLog
@@ -34,10 +34,7 @@
         self.decoder = decoder
         self.events = events
         self.missing: dict[InstanceId, asyncio.TimerHandle] = {}
-        self.on_gone: list[Any] = []
-
-    def contact_restored(self, now: float) -> None:
-        """Nothing to do: removals that follow are marked as lapsed."""
+        self.on_gone: list[Callable[[FleetInstance], None]] = []
 
     def record_changed(self, key: str, value: bytes | None, *, lapsed: bool) -> None:
         """Take a record's new value; a spoilt record names nothing to use."""
--- a/src/masticdeck/coordination/trips.py
+++ b/src/masticdeck/coordination/trips.py
@@ -5,6 +5,7 @@
 import asyncio
 import random
 
+from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
 from masticdeck.coordination.placement import Placement
 from masticdeck.events import Code, EventLog
@@ -23,7 +24,7 @@
 """Change of the figure, as a part of it, that is taken over and logged."""
 
 
-class TripMeter:
+class TripMeter(BackgroundTask):
     """Tells the placement how far other regions are.
 
     A figure that varies by less than ``NOTABLE_CHANGE`` is kept, so that keys
@@ -31,19 +32,10 @@
     """
 
     def __init__(self, fleet: Fleet, placement: Placement, events: EventLog) -> None:
+        super().__init__()
         self.fleet = fleet
         self.placement = placement
         self.events = events
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to measure."""
-        self.task = asyncio.create_task(self.run())
-
-    async def stop(self) -> None:
-        """End measuring."""
-        if self.task is not None:
-            self.task.cancel()
 
     async def run(self) -> None:
         """Measure again and again."""
--- a/src/masticdeck/gateway/reloader.py
+++ b/src/masticdeck/gateway/reloader.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from pathlib import Path
 
+from masticdeck.application import BackgroundTask
 from masticdeck.errors import SettingsInvalid
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.settings import GatewaySettings
@@ -15,7 +16,7 @@
 """Seconds between looks at the settings file."""
 
 
-class Reloader:
+class Reloader(BackgroundTask):
     """Watches the settings file; a faulty one changes nothing."""
 
     def __init__(
@@ -25,21 +26,12 @@
         use: Callable[[GatewaySettings], None],
         events: EventLog,
     ) -> None:
+        super().__init__()
         self.path = path
         self.load = load
         self.use = use
         self.events = events
         self.seen = self.stamp()
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Begin to watch."""
-        self.task = asyncio.create_task(self.run())
-
-    async def stop(self) -> None:
-        """End watching."""
-        if self.task is not None:
-            self.task.cancel()
 
     async def run(self) -> None:
         """Reload when the file has changed."""
--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -4,7 +4,6 @@
 
 import base64
 import json
-import logging
 from collections.abc import Mapping
 from typing import Any
 
@@ -16,11 +15,19 @@
     StoreHistoryLost,
     StoreUnavailable,
 )
-from masticdeck.events import Code, EventLog
+from masticdeck.events import EventLog
 from masticdeck.ids import Revision
 from masticdeck.metrics import Metrics
 from masticdeck.platform.units import format_duration
-from masticdeck.protocol.store import Change, Changes, KeyValue, LeaseId, Listing
+from masticdeck.protocol.store import (
+    Availability,
+    Change,
+    Changes,
+    KeyValue,
+    LeaseId,
+    Listing,
+    decode_item,
+)
 
 CALL_TIMEOUT_S = 1.5
 """Longest wait for an answer; the store answers in milliseconds when it is well."""
@@ -32,7 +39,7 @@
 HISTORY_LOST = 410
 
 
-class PlatformStore:
+class PlatformStore(Availability):
     """Client of the platform's store; one session for each process.
 
     A write whose answer was lost raises StoreUnavailable although it may have
@@ -40,10 +47,9 @@
     """
 
     def __init__(self, address: str, *, events: EventLog, metrics: Metrics) -> None:
+        super().__init__(events)
         self.url = f"http://{address}/-"
-        self.events = events
         self.metrics = metrics
-        self.available = True
         self.session: ClientSession | None = None
 
     async def start(self) -> None:
@@ -180,18 +186,6 @@
         self.note(available=False, detail=detail)
         return StoreUnavailable(detail)
 
-    def note(self, *, available: bool, detail: str = "") -> None:
-        """Emit an event when the store begins or ceases to answer."""
-        if available is self.available:
-            return
-        self.available = available
-        if available:
-            self.events.emit(Code.STORE_AVAILABLE)
-        else:
-            self.events.emit(
-                Code.STORE_UNAVAILABLE, level=logging.WARNING, error=detail
-            )
-
 
 def decode_fields(status: int, content: bytes) -> dict[str, Any]:
     """Return the fields of an answer, or raise for one that says nothing."""
@@ -208,15 +202,6 @@
     raise StoreAnswerInvalid("the answer is not a JSON object")
 
 
-def decode_item(item: Mapping[str, Any]) -> KeyValue:
-    """Return an item of an answer, or raise StoreAnswerInvalid."""
-    try:
-        value = base64.b64decode(item["value"], validate=True)
-        return KeyValue(str(item["key"]), value, Revision(int(item["revision"])))
-    except (KeyError, TypeError, ValueError):
-        raise StoreAnswerInvalid("an item lacks key, value or revision") from None
-
-
 def decode_change(event: Mapping[str, Any]) -> Change:
     """Return a change of an answer, or raise StoreAnswerInvalid."""
     if event.get("tombstone"):
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -113,7 +113,27 @@
         """Wait up to ``wait_s`` for changes below a prefix past a revision."""
 
 
-class HttpStore:
+class Availability:
+    """Turns the results of calls into events when an outage begins or ends."""
+
+    def __init__(self, events: EventLog | None) -> None:
+        self.events = events
+        self.available = True
+
+    def note(self, *, available: bool, detail: str = "") -> None:
+        """Take in whether a call got an answer."""
+        if available is self.available or self.events is None:
+            return
+        self.available = available
+        if available:
+            self.events.emit(Code.STORE_AVAILABLE)
+        else:
+            self.events.emit(
+                Code.STORE_UNAVAILABLE, level=logging.WARNING, error=detail
+            )
+
+
+class HttpStore(Availability):
     """The store over HTTP with JSON bodies.
 
     With ``events``, the beginning and the end of an outage are events.
@@ -126,10 +146,9 @@
         timeout_s: float = CALL_TIMEOUT_S,
         events: EventLog | None = None,
     ) -> None:
+        super().__init__(events)
         self.url = url
         self.timeout_s = timeout_s
-        self.events = events
-        self.available = True
         self.session: ClientSession | None = None
 
     async def start(self) -> None:
@@ -218,18 +237,6 @@
         except (TimeoutError, ClientError, OSError, UnicodeDecodeError) as error:
             raise StoreUnavailable(f"{method}: {type(error).__name__}") from error
 
-    def note(self, *, available: bool, detail: str = "") -> None:
-        """Emit an event when the store begins or ceases to answer."""
-        if available is self.available or self.events is None:
-            return
-        self.available = available
-        if available:
-            self.events.emit(Code.STORE_AVAILABLE)
-        else:
-            self.events.emit(
-                Code.STORE_UNAVAILABLE, level=logging.WARNING, error=detail
-            )
-
 
 def decode_answer(method: str, status: int, text: str) -> Any:
     """Return an answer's fields, or raise the error that it stands for."""
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -51,7 +51,7 @@
 
     ``accepts`` decides on each answer head whether it answers the request just
     sent; an answer that it rejects is read and dropped, and the connection is
-    not used again. ``unasked`` is called when bytes arrive outside an exchange.
+    not used again, nor is one on which bytes arrive outside an exchange.
     """
 
     def __init__(self) -> None:
@@ -62,8 +62,6 @@
         self.idle_since = boottime()
         self.idle_limit_s: float | None = None
         self.uses = 0
-        self.writable = asyncio.Event()
-        self.writable.set()
         self.on_idle_end: Callable[[InstanceConnection], None] | None = None
         self.end_exchange()
 
@@ -202,14 +200,6 @@
         elif not self.busy and self.on_idle_end is not None:
             self.on_idle_end(self)
 
-    def pause_writing(self) -> None:
-        """Note that the send buffer is full."""
-        self.writable.clear()
-
-    def resume_writing(self) -> None:
-        """Note that the send buffer has drained."""
-        self.writable.set()
-
     # httptools callbacks
 
     def on_message_begin(self) -> None:
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -31,9 +31,6 @@
     def record_changed(self, key, value, *, lapsed) -> None:
         self.values[key] = value
 
-    def contact_restored(self, now) -> None:
-        pass
-
 
 class Source:
     """An entry that others follow."""
