--- a/src/masticdeck/gateway/settings.py
+++ b/src/masticdeck/gateway/settings.py
@@ -28,8 +28,8 @@
     """Settings of an entry on a live fleet.
 
     Times are in seconds. ``retry_ratio`` and ``retry_slack`` bound the repeats
-    of all entries together: in any ``retry_window_s``, ``retry_ratio`` times the
-    requests plus ``retry_slack``. ``stop_grace_s`` is the time from the order
+    of all entries together: in any window ``retry_ratio`` times the requests plus
+    ``retry_slack``. ``stop_grace_s`` is the time from the order
     to stop to the kill.
     """
 
@@ -48,5 +48,4 @@
     lookup_ttl_s: Annotated[float, Field(gt=0)] = 2.0
     retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
     retry_slack: Annotated[float, Field(ge=0)] = 0.0
-    retry_window_s: Annotated[float, Field(gt=0)] = 10.0
     log_level: Annotated[str, Field(pattern="^(debug|info|warning|error)$")] = "info"
