Give back the slot of a request whose route vanished while it waited

Cause: a route removed while a request waited raised past the slot that it had just been given, so the instance looked partly full at this entry for good; found by reading, shown by a test that failed first. Change: the slot is given back on every way out; a later incarnation's count does not fall below zero.

--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -115,8 +115,11 @@
         room.reported_at = now
 
     def end(self, room: InstanceRoom) -> None:
-        """Count a request's end."""
-        room.own -= 1
+        """Count a request's end.
+
+        The room may be that of a later incarnation, which has none of them.
+        """
+        room.own = max(0, room.own - 1)
 
     def learn(self, room: InstanceRoom, service: ServiceId, latency_s: float) -> None:
         """Take in how long an answer took."""
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -113,11 +113,24 @@
                 return self.forwarder.dispatcher.take_full(self.ticket)
             except NoInstance:
                 return None
-            if epoch == self.forwarder.fleet.epoch or self.follow_configuration():
+            if epoch == self.forwarder.fleet.epoch or self.confirm(instance):
                 return instance
-            self.forwarder.dispatcher.release(self.forwarder.rooms.get(instance))
         return None
 
+    def confirm(self, instance: FleetInstance) -> bool:
+        """Return whether the route still leads to an instance that was waited for.
+
+        The slot is given back when it does not, or when there is no route.
+        """
+        confirmed = False
+        try:
+            confirmed = self.follow_configuration()
+        finally:
+            if not confirmed:
+                room = self.forwarder.rooms.get(instance)
+                self.forwarder.dispatcher.release(room)
+        return confirmed
+
     def follow_configuration(self) -> bool:
         """Take over the route now in force; return whether it is unchanged."""
         route = self.find_route()
--- a/testing/gateway/test_fleet_changes.py
+++ b/testing/gateway/test_fleet_changes.py
@@ -165,3 +165,25 @@
     answer = await world.ask("/s/a")
     assert answer.status == 503
     assert not world.gateway.directory.is_ready()
+
+
+async def test_request_whose_route_is_removed_while_it_waits_gives_its_slot_back(world):
+    set_all(world, never)
+    for name in ("s1", "s2"):
+        world.instances[name].slots = 1
+        world.store.write(f"servers/{name}", world.instances[name].record())
+    await world.settle()
+    fillers = [asyncio.create_task(world.ask("/s/fill")) for _ in range(2)]
+    while len(received(world)) < 2:
+        await asyncio.sleep(0.01)
+    waiting = asyncio.create_task(world.ask("/s/wait"))
+    await asyncio.sleep(0.05)
+    world.configure(route("/u/", "unsafe", "u"))
+    await world.settle()
+    for task in fillers:
+        task.cancel()
+    assert (await waiting).status == 404
+    await asyncio.gather(*fillers, return_exceptions=True)
+    async with asyncio.timeout(5):
+        while any(room.own for room in world.gateway.rooms.by_instance.values()):
+            await asyncio.sleep(0.01)
