--- /dev/null
+++ b/testing/coordination/test_load_plays.py
@@ -0,0 +1,81 @@
+"""What callers get from placing and queueing, played in virtual time."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import replace
+
+import pytest
+
+from masticdeck.coordination import placement
+from masticdeck.state.routes import RouteId
+from testing.coordination.load_play import Play, Tally, run_play
+from testing.coordination.test_placement import build_route
+
+SEEDS = [1, 2, 3]
+
+
+def play_one_route(seed: int, monkeypatch, *, sticky: bool) -> Tally:
+    """Play a service whose cold capacity is 64 requests a second with 90."""
+    tallies: list[Tally] = []
+
+    async def body() -> None:
+        play = Play(seed, instances=14, slots=4)
+        route = replace(build_route(sticky=sticky), objective_s=0.6, timeout_s=1.2)
+        await play.offer(route, per_s=90, work_s=0.88, keys=72, seconds=20)
+        tallies.append(play.tallies[route.priority])
+
+    run_play(body, monkeypatch)
+    return tallies[0]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_keyed_placing_serves_more_within_the_objective(seed, monkeypatch):
+    keyed = play_one_route(seed, monkeypatch, sticky=True)
+    spread = play_one_route(seed, monkeypatch, sticky=False)
+    assert keyed.share_in_objective > spread.share_in_objective
+    assert keyed.share_served >= spread.share_served
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_two_instances_for_a_key_serve_no_less_than_six(seed, monkeypatch):
+    two = play_one_route(seed, monkeypatch, sticky=True)
+    monkeypatch.setattr(placement, "COPIES", 6)
+    six = play_one_route(seed, monkeypatch, sticky=True)
+    assert two.share_in_objective >= six.share_in_objective
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_urgent_requests_are_served_no_worse_than_others_in_a_flood(seed, monkeypatch):
+    tallies: dict[int, Tally] = {}
+
+    async def body() -> None:
+        play = Play(seed, instances=6, slots=3)
+        routes = [
+            replace(
+                build_route(),
+                id=RouteId(f"r{priority}"),
+                prefix=f"/r{priority}/",
+                priority=priority,
+                objective_s=0.6,
+            )
+            for priority in (0, 2)
+        ]
+        rates = (20, 160)
+        await asyncio.gather(
+            *(
+                play.offer(route, per_s=rate, work_s=0.4, keys=24, seconds=12)
+                for route, rate in zip(routes, rates, strict=True)
+            )
+        )
+        tallies.update(play.tallies)
+
+    run_play(body, monkeypatch)
+    assert tallies[2].share_served < 1.0
+    assert tallies[0].share_served >= tallies[2].share_served
+    assert tallies[0].share_in_objective >= tallies[2].share_in_objective
+
+
+def test_play_repeats_exactly(monkeypatch):
+    first = play_one_route(1, monkeypatch, sticky=True)
+    assert first == play_one_route(1, monkeypatch, sticky=True)
