--- a/soak/world.py
+++ b/soak/world.py
@@ -50,6 +50,7 @@
         self.log = folder / f"{name}.log"
         self.starts = 0
         self.process: asyncio.subprocess.Process | None = None
+        self.starting = asyncio.Lock()
 
     @property
     def incarnation(self) -> str:
@@ -57,8 +58,14 @@
         return f"{self.name}#{self.starts}"
 
     async def start(self) -> None:
-        """Start the process."""
-        self.starts += 1
+        """Start the process unless another fault has done so."""
+        async with self.starting:
+            if not self.running():
+                self.starts += 1
+                await self.spawn()
+
+    async def spawn(self) -> None:
+        """Start a process whose output goes to the entry's log."""
         environment = {
             **os.environ,
             "MASTICDECK_CONFIG": str(self.path),
