--- a/src/masticdeck/gateway/settings.py
+++ b/src/masticdeck/gateway/settings.py
@@ -29,8 +29,8 @@
 
     Times are in seconds. ``retry_ratio`` and ``retry_slack`` bound the repeats
     of all entries together: in any window ``retry_ratio`` times the requests plus
-    ``retry_slack``. ``stop_grace_s`` is the time from the order
-    to stop to the kill.
+    ``retry_slack``. ``stop_grace_s`` is the time from the order to stop to the
+    kill.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
--- a/src/masticdeck/programs/gateway_process.py
+++ b/src/masticdeck/programs/gateway_process.py
@@ -1,7 +1,7 @@
 """The process of ``masticdeck-gateway``, apart from its command line.
 
 The platform starts it without arguments, many times a day; the command-line
-library would be a third of the time until it is ready.
+library would be a quarter of the imports.
 """
 
 from __future__ import annotations
--- a/testing/gateway/test_fleet_changes.py
+++ b/testing/gateway/test_fleet_changes.py
@@ -18,6 +18,21 @@
     return {one.headers["expected-instance"] for one in received(world)}
 
 
+async def queue_request(world) -> tuple[list[asyncio.Task], asyncio.Task]:
+    """Fill both instances; return the requests there and one that waits."""
+    set_all(world, never)
+    for name in ("s1", "s2"):
+        world.instances[name].slots = 1
+        world.store.write(f"servers/{name}", world.instances[name].record())
+    await world.settle()
+    fillers = [asyncio.create_task(world.ask("/s/fill")) for _ in range(2)]
+    while len(received(world)) < 2:
+        await asyncio.sleep(0.01)
+    waiting = asyncio.create_task(world.ask("/s/wait"))
+    await asyncio.sleep(0.05)
+    return fillers, waiting
+
+
 async def test_draining_instance_gets_nothing_more(world):
     s1 = world.instances["s1"]
     world.store.write("servers/s1", s1.record(state="draining"))
@@ -50,16 +65,7 @@
 
 
 async def test_request_that_waits_follows_an_evacuation(world):
-    set_all(world, never)
-    for name in ("s1", "s2"):
-        world.instances[name].slots = 1
-        world.store.write(f"servers/{name}", world.instances[name].record())
-    await world.settle()
-    fillers = [asyncio.create_task(world.ask("/s/fill")) for _ in range(2)]
-    while len(received(world)) < 2:
-        await asyncio.sleep(0.01)
-    waiting = asyncio.create_task(world.ask("/s/wait"))
-    await asyncio.sleep(0.05)
+    fillers, waiting = await queue_request(world)
     world.store.write("op/evacuate/cesis-a", b"{}")
     await world.settle()
     answer = await waiting
@@ -168,16 +174,7 @@
 
 
 async def test_request_whose_route_is_removed_while_it_waits_gives_its_slot_back(world):
-    set_all(world, never)
-    for name in ("s1", "s2"):
-        world.instances[name].slots = 1
-        world.store.write(f"servers/{name}", world.instances[name].record())
-    await world.settle()
-    fillers = [asyncio.create_task(world.ask("/s/fill")) for _ in range(2)]
-    while len(received(world)) < 2:
-        await asyncio.sleep(0.01)
-    waiting = asyncio.create_task(world.ask("/s/wait"))
-    await asyncio.sleep(0.05)
+    fillers, waiting = await queue_request(world)
     world.configure(route("/u/", "unsafe", "u"))
     await world.settle()
     for task in fillers:
