--- a/scripts/check_layers.py
+++ b/scripts/check_layers.py
@@ -19,7 +19,7 @@
     "load",
     "programs",
 )
-TREES = ("src", "testing", "bench", "scripts")
+TREES = ("src", "testing", "bench", "scripts", "soak", "deploy")
 TOP_MODULES = frozenset({"client"})
 
 
--- a/scripts/code_shares.py
+++ b/scripts/code_shares.py
@@ -1,4 +1,4 @@
-"""Prints the shares of tests and of coordination in the code, in lines."""
+"""Prints the shares of tests, soak and coordination in the code, in lines."""
 
 from __future__ import annotations
 
@@ -17,7 +17,7 @@
 
 
 def main() -> None:
-    """Print the two shares."""
+    """Print the shares."""
     source = [
         path for path in (ROOT / "src").rglob("*.py") if "generated" not in path.parts
     ]
@@ -26,16 +26,19 @@
     tools = [
         path for tree in ("bench", "scripts") for path in (ROOT / tree).rglob("*.py")
     ]
+    soak = list((ROOT / "soak").rglob("*.py"))
     coordination = [path for path in source if set(path.parts) & set(COORDINATION)]
     lines = {
         "source": count(source),
         "tests": count(tests),
         "tools": count(tools),
+        "soak": count(soak),
         "coordination": count(coordination),
     }
-    total = lines["source"] + lines["tests"] + lines["tools"]
+    total = lines["source"] + lines["tests"] + lines["tools"] + lines["soak"]
     print(", ".join(f"{name} {number}" for name, number in lines.items()))
-    print(f"tests: {lines['tests'] / total:.2f} of all code (under 0.33)")
+    print(f"tests: {lines['tests'] / total:.2f} of all code (no bound)")
+    print(f"soak: {lines['soak'] / total:.2f} of all code (under 0.10)")
     share = lines["coordination"] / lines["source"]
     print(f"coordination: {share:.2f} of the source (0.25 or more)")
 
--- /dev/null
+++ b/soak/faults.py
@@ -0,0 +1,158 @@
+"""The faults of a soak; each undoes itself and records the span it disturbs."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import time
+from collections.abc import Awaitable, Callable
+from contextlib import asynccontextmanager
+
+from masticdeck.registry import Registry
+from soak.proxy import Mode
+from soak.world import GRACE_S, Entry, World
+
+SETTLE_S = 4.0
+"""Seconds after a fault until bounds hold again."""
+
+Fault = Callable[[World], Awaitable[None]]
+faults: Registry[Fault] = Registry("fault")
+
+
+@asynccontextmanager
+async def disturbance(world: World):
+    """Record the span of a fault."""
+    began = time.monotonic()
+    span = len(world.ledger.disturbed)
+    world.ledger.disturbed.append((began, float("inf")))
+    try:
+        yield
+    finally:
+        world.ledger.disturbed[span] = (began, time.monotonic() + SETTLE_S)
+
+
+def choose(world: World) -> Entry | None:
+    """Return a running entry, unless it is the only one."""
+    running = [one for one in world.entries if one.running()]
+    return world.random.choice(running) if len(running) > 1 else None
+
+
+@faults.register("kill")
+async def kill(world: World) -> None:
+    """Kill an entry and start it again."""
+    entry = choose(world)
+    if entry is None or entry.process is None:
+        return
+    async with disturbance(world):
+        world.ledger.killed.add(entry.incarnation)
+        entry.send(signal.SIGKILL)
+        await entry.process.wait()
+        await asyncio.sleep(world.random.uniform(0.1, 1.5))
+        await entry.start()
+
+
+@faults.register("pause")
+async def pause(world: World) -> None:
+    """Let an entry stand still."""
+    entry = choose(world)
+    if entry is None:
+        return
+    async with disturbance(world):
+        world.ledger.killed.add(entry.incarnation)
+        entry.send(signal.SIGSTOP)
+        await asyncio.sleep(world.random.uniform(0.2, 3.0))
+        entry.send(signal.SIGCONT)
+
+
+@faults.register("stop")
+async def stop(world: World) -> None:
+    """Stop an entry as planned, with a repeated signal, and start it again."""
+    entry = choose(world)
+    if entry is None or entry.process is None:
+        return
+    name, began = entry.incarnation, time.monotonic()
+    world.ledger.planned_stops[name] = (began, began + GRACE_S)
+    entry.send(signal.SIGTERM)
+    if world.random.random() < 0.3:
+        await asyncio.sleep(0.2)
+        entry.send(signal.SIGTERM)
+    try:
+        async with asyncio.timeout(GRACE_S + 1):
+            world.ledger.exits[name] = await entry.process.wait()
+    except TimeoutError:
+        world.ledger.exits[name] = -1
+        entry.send(signal.SIGKILL)
+        await entry.process.wait()
+    await entry.start()
+
+
+@faults.register("reload")
+async def reload(world: World) -> None:
+    """Send the signal to reload the settings."""
+    entry = choose(world)
+    if entry is not None:
+        entry.send(signal.SIGHUP)
+
+
+@faults.register("store link")
+async def store_link(world: World) -> None:
+    """Disturb the connections of some entries to the store."""
+    mode = world.random.choice([one for one in Mode if one is not Mode.PASS])
+    count = world.random.randint(1, len(world.entries))
+    chosen = world.random.sample(world.entries, count)
+    async with disturbance(world):
+        for entry in chosen:
+            entry.store.set(mode)
+        await asyncio.sleep(world.random.uniform(0.5, 4.0))
+        for entry in chosen:
+            entry.store.set(Mode.PASS)
+            # What was cut stays cut, and no reset tells of it.
+
+
+@faults.register("store")
+async def store(world: World) -> None:
+    """Let the store refuse, be slow, lose answers or forget its history."""
+    async with disturbance(world):
+        match world.random.choice(["refuse", "slow", "lose", "compact"]):
+            case "refuse":
+                world.store.refuse_with = world.random.choice([429, 503])
+            case "slow":
+                world.store.delay_s = 0.3
+            case "lose":
+                world.store.lose_answers = True
+            case _:
+                world.store.compact()
+        await asyncio.sleep(world.random.uniform(0.5, 3.0))
+        world.store.refuse_with = None
+        world.store.delay_s = 0.0
+        world.store.lose_answers = False
+
+
+@faults.register("instance link")
+async def instance_link(world: World) -> None:
+    """Disturb the connections of all entries to one instance."""
+    proxy = world.random.choice(list(world.proxies.values()))
+    mode = world.random.choice([one for one in Mode if one is not Mode.PASS])
+    async with disturbance(world):
+        proxy.set(mode)
+        await asyncio.sleep(world.random.uniform(0.3, 3.0))
+        proxy.set(Mode.PASS)
+
+
+@faults.register("drain")
+async def drain(world: World) -> None:
+    """Let an instance leave as planned, and another come."""
+    ready = [one for one in world.instances if one.id not in world.ledger.left]
+    leaving = world.random.choice(ready)
+    world.store.write(f"servers/{leaving.id}", leaving.record(state="draining"))
+    world.ledger.left[leaving.id] = time.monotonic()
+    name = f"{leaving.service}{next(world.numbers)}"
+    await world.add_instance(name, leaving.service)
+    await asyncio.sleep(3.0)
+    world.store.remove(f"servers/{leaving.id}")
+
+
+@faults.register("version")
+async def version(world: World) -> None:
+    """Accept a version that moves a route to another service."""
+    world.configure(world.random.choice(["s", "t"]))
--- /dev/null
+++ b/soak/ledger.py
@@ -0,0 +1,135 @@
+"""What callers and instances saw, and the promises judged from it."""
+
+from __future__ import annotations
+
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
+
+REFUSALS = frozenset({408, 421, 429, 503})
+
+
+@dataclass
+class Asked:
+    """One request of a caller and how it ended; status 0 means no answer."""
+
+    id: str
+    unsafe: bool
+    entry: str
+    sent_at: float
+    status: int = 0
+    body: bytes = b""
+    signed: bool = False
+    ended_at: float = 0.0
+    read: bool = False
+
+
+@dataclass
+class Ran:
+    """One request that an instance began to run."""
+
+    id: str
+    instance: str
+    service: str
+    target: str
+    at: float
+
+
+@dataclass
+class Ledger:
+    """Everything that was seen, and spans in which bounds do not hold."""
+
+    asked: dict[str, Asked] = field(default_factory=dict)
+    ran: list[Ran] = field(default_factory=list)
+    left: dict[str, float] = field(default_factory=dict)
+    versions: list[tuple[float, str]] = field(default_factory=list)
+    disturbed: list[tuple[float, float]] = field(default_factory=list)
+    planned_stops: dict[str, tuple[float, float]] = field(default_factory=dict)
+    killed: set[str] = field(default_factory=set)
+    exits: dict[str, int] = field(default_factory=dict)
+
+    def calm(self, since: float, until: float) -> bool:
+        """Return whether no fault touched a span."""
+        return all(end < since or begin > until for begin, end in self.disturbed)
+
+    def breaches(self) -> list[str]:
+        """Return every promise that was broken, as text."""
+        return [
+            *self.mixed_answers(),
+            *self.repeated_runs(),
+            *self.false_refusals(),
+            *self.late_work(),
+            *self.old_versions(),
+            *self.bad_stops(),
+        ]
+
+    def mixed_answers(self) -> list[str]:
+        """A success is the whole answer to its own request."""
+        return [
+            f"MIXED {one.id} got {one.body[:80]!r}"
+            for one in self.asked.values()
+            if one.status == 200
+            and not (one.signed and one.body.split()[:1] == [one.id.encode()])
+        ]
+
+    def repeated_runs(self) -> list[str]:
+        """An unsafe request runs once at most, and only if it was asked."""
+        counts = Counter(one.id for one in self.ran)
+        return [
+            f"TWICE {name} ran {count} times"
+            for name, count in counts.items()
+            if count > 1 and self.asked[name].unsafe
+        ] + [f"UNASKED {name}" for name in counts if name not in self.asked]
+
+    def false_refusals(self) -> list[str]:
+        """A refused unsafe request never ran."""
+        ran = {one.id for one in self.ran}
+        return [
+            f"REFUSED {one.id} ran and was answered {one.status}"
+            for one in self.asked.values()
+            if one.unsafe and one.status in REFUSALS and one.id in ran
+        ]
+
+    def late_work(self) -> list[str]:
+        """An instance that leaves gets nothing 2.5 s later, in calm times."""
+        return [
+            f"DRAIN {one.id} reached {one.instance} {one.at - left:.2f} s late"
+            for one in self.ran
+            if (left := self.left.get(one.instance)) is not None
+            and one.at > left + 2.5
+            and self.calm(left - 4, one.at)
+        ]
+
+    def old_versions(self) -> list[str]:
+        """A version is in force 2.5 s after its acceptance, in calm times."""
+        found = []
+        for one in self.ran:
+            asked = self.asked.get(one.id)
+            if asked is None or not one.target.startswith("/v/"):
+                continue
+            current = [(at, to) for at, to in self.versions if at < asked.sent_at]
+            if not current:
+                continue
+            at, service = current[-1]
+            settled = asked.sent_at > at + 2.5 and self.calm(at - 4, one.at)
+            if settled and one.service != service:
+                found.append(f"CONFIG {one.id} ran at {one.service}, not {service}")
+        return found
+
+    def bad_stops(self) -> list[str]:
+        """A planned stop ends in time with status 0 and cuts no request."""
+        found = [
+            f"STOP {name} ended with {status}"
+            for name, status in self.exits.items()
+            if name in self.planned_stops and name not in self.killed and status != 0
+        ]
+        began = defaultdict(list)
+        for one in self.ran:
+            began[one.id].append(one.at)
+        for one in self.asked.values():
+            span = self.planned_stops.get(one.entry)
+            if span is None or one.entry in self.killed or one.status:
+                continue
+            in_span = span[0] <= one.ended_at <= span[1]
+            if in_span and one.id in began and self.calm(span[0] - 4, one.ended_at):
+                found.append(f"LOST {one.id} at {one.entry} while it stopped")
+        return found
--- /dev/null
+++ b/soak/world.py
@@ -0,0 +1,266 @@
+"""Entry processes, instances, the store and callers of one soak run."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import os
+import random
+import signal
+import sys
+import tempfile
+import time
+from contextlib import suppress
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from soak.ledger import Asked, Ledger, Ran
+from soak.proxy import FaultProxy
+from testing.gateway.world import (
+    HOST,
+    ZONES,
+    configuration,
+    read_answer,
+    route,
+    settings_fields,
+)
+from testing.platform.standin_instance import StandinInstance
+from testing.platform.standin_store import StandinStore
+
+ROOT = Path(__file__).resolve().parent.parent
+SERVICES = ("s", "t", "u")
+WORK_S = 0.05
+CALLER_PATIENCE_S = 2.0
+GRACE_S = 6.0
+
+
+class Entry:
+    """One entry process behind a proxy of its own to the store."""
+
+    def __init__(self, name: str, folder: Path, store: FaultProxy, zone: str) -> None:
+        self.name = name
+        self.store = store
+        self.fields = settings_fields(store.address, name=name)
+        self.fields["zone"] = zone
+        self.path = folder / f"{name}.yaml"
+        self.path.write_text(yaml.safe_dump(self.fields))
+        self.log = folder / f"{name}.log"
+        self.starts = 0
+        self.process: asyncio.subprocess.Process | None = None
+
+    @property
+    def incarnation(self) -> str:
+        """Return the name of the process that runs now."""
+        return f"{self.name}#{self.starts}"
+
+    async def start(self) -> None:
+        """Start the process."""
+        self.starts += 1
+        environment = {
+            **os.environ,
+            "MASTICDECK_CONFIG": str(self.path),
+            "PYTHONPATH": str(ROOT / "src"),
+        }
+        with self.log.open("ab") as log:
+            self.process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                "-m",
+                "masticdeck.programs.gateway",
+                env=environment,
+                stdout=log,
+                stderr=log,
+            )
+
+    def running(self) -> bool:
+        """Return whether the process has not ended."""
+        return self.process is not None and self.process.returncode is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to the process."""
+        if self.running() and self.process is not None:
+            self.process.send_signal(number)
+
+
+class World:
+    """Everything of one run; ``ledger`` keeps what was seen."""
+
+    def __init__(self, seed: int, folder: Path, *, entries: int) -> None:
+        self.random = random.Random(seed)
+        self.folder = folder
+        self.entry_count = entries
+        self.ledger = Ledger()
+        self.store = StandinStore()
+        self.entries: list[Entry] = []
+        self.instances: list[StandinInstance] = []
+        self.proxies: dict[str, FaultProxy] = {}
+        self.numbers = itertools.count()
+        self.version = itertools.count(1)
+        self.callers: list[asyncio.Task[None]] = []
+
+    async def start(self) -> None:
+        """Start everything and wait until every entry is ready."""
+        await self.store.start()
+        self.configure("s")
+        for number, service in enumerate(SERVICES * 3):
+            await self.add_instance(f"{service}{number}", service)
+        zones = itertools.cycle(ZONES)
+        for number in range(self.entry_count):
+            proxy = FaultProxy(self.store.address)
+            await proxy.start()
+            entry = Entry(f"entry-{number}", self.folder, proxy, next(zones))
+            self.entries.append(entry)
+            await entry.start()
+        async with asyncio.timeout(30):
+            for entry in self.entries:
+                while not await self.is_ready(entry):
+                    await asyncio.sleep(0.05)
+
+    async def stop(self) -> None:
+        """End everything that this run started."""
+        for task in self.callers:
+            task.cancel()
+        for entry in self.entries:
+            if entry.running() and entry.process is not None:
+                entry.send(signal.SIGCONT)
+                entry.process.kill()
+                await entry.process.wait()
+            entry.store.stop()
+        for proxy in self.proxies.values():
+            proxy.stop()
+        for instance in self.instances:
+            await instance.stop()
+        await self.store.stop()
+
+    def configure(self, service: str) -> None:
+        """Accept a version in which the route /v/ leads to a service."""
+        fields: dict[str, Any] = {"timeout": "1500ms", "target_latency": "500ms"}
+        routes = [
+            route("/s/", "safe", "s", sticky_sessions=True, **fields),
+            route("/u/", "unsafe", "u", **fields),
+            route("/v/", "safe", service, **fields),
+        ]
+        routes += [route("/t/", "safe", "t", **fields)]
+        self.store.write("op/config", configuration(next(self.version), routes))
+        self.ledger.versions.append((time.monotonic(), service))
+
+    async def add_instance(self, name: str, service: str) -> None:
+        """Start an instance behind a proxy and register it."""
+        zone = self.random.choice(list(ZONES))
+        instance = StandinInstance(name, service, zone=zone, act=self.run_request)
+        await instance.start()
+        proxy = FaultProxy(instance.address)
+        await proxy.start()
+        self.proxies[name] = proxy
+        instance.address = proxy.address
+        self.instances.append(instance)
+        self.store.write(f"servers/{name}", instance.record())
+
+    async def run_request(self, instance: Any, request: Any, writer: Any) -> None:
+        """Run a request at an instance and answer with its own id."""
+        now = time.monotonic()
+        self.ledger.ran.append(
+            Ran(request.id, instance.id, instance.service, request.target, now)
+        )
+        await asyncio.sleep(self.random.expovariate(1 / WORK_S))
+        body = f"{request.id} {instance.id}".encode()
+        writer.write(instance.head(request, 200, len(body)) + body)
+
+    async def is_ready(self, entry: Entry) -> bool:
+        """Return whether an entry says that it wants requests."""
+        address = entry.fields["listen_addresses"]["ready"]
+        with suppress(OSError, asyncio.IncompleteReadError, ValueError):
+            async with asyncio.timeout(1):
+                answer = await self.ask_once(address, "/-/readiness")
+                return answer.status == 200
+        return False
+
+    async def ask_once(self, address: str, target: str) -> Any:
+        """Send one request on a connection of its own."""
+        host, _, port = address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            writer.write(f"GET {target} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+            return await read_answer(reader)
+        finally:
+            writer.close()
+
+    async def resolve(self) -> list[Entry]:
+        """Ask any entry's directory which entries to use."""
+        for entry in self.random.sample(self.entries, len(self.entries)):
+            address = entry.fields["listen_addresses"]["directory"]
+            target = "/-/resolve?name=a&region=vidzeme&zone=cesis-a"
+            with suppress(OSError, asyncio.IncompleteReadError, ValueError):
+                async with asyncio.timeout(0.5):
+                    answer = await self.ask_once(address, target)
+                    named = json.loads(answer.body)["addresses"]
+                    return [
+                        one
+                        for one in self.entries
+                        if one.fields["listen_addresses"]["frontend"] in named
+                    ]
+        return []
+
+    def load(self, callers: int) -> None:
+        """Begin to send requests."""
+        self.callers += [asyncio.create_task(self.call()) for _ in range(callers)]
+
+    async def call(self) -> None:
+        """Send requests one after the other, on open connections while they last."""
+        while True:
+            entries = await self.resolve()
+            if not entries:
+                await asyncio.sleep(0.1)
+                continue
+            with suppress(OSError, asyncio.IncompleteReadError, ValueError):
+                await self.use_connection(self.random.choice(entries))
+            await asyncio.sleep(0.01)
+
+    async def use_connection(self, entry: Entry) -> None:
+        """Send requests on one connection until it ends, two seconds at most."""
+        address = entry.fields["listen_addresses"]["frontend"]
+        host, _, port = address.rpartition(":")
+        async with asyncio.timeout(0.5):
+            reader, writer = await asyncio.open_connection(host, int(port))
+        try:
+            until = time.monotonic() + 2
+            while time.monotonic() < until and not writer.is_closing():
+                answer = await self.send(entry, reader, writer)
+                if answer.headers.get("connection") == "close":
+                    return
+                await asyncio.sleep(self.random.expovariate(1 / 0.02))
+        finally:
+            writer.close()
+
+    async def send(self, entry: Entry, reader: Any, writer: Any) -> Any:
+        """Send one request, record it, and return its answer."""
+        prefix = self.random.choice(["/s/", "/u/", "/v/", "/t/"])
+        unsafe = prefix == "/u/"
+        name = f"id-{next(self.numbers)}"
+        asked = Asked(name, unsafe, entry.incarnation, time.monotonic())
+        self.ledger.asked[name] = asked
+        body = b"x" * 50 if unsafe else b""
+        lines = [
+            f"{'POST' if unsafe else 'GET'} {prefix}{name} HTTP/1.1",
+            f"Host: {HOST}",
+            f"Attempt-Id: {name}",
+            f"Affinity-Key: {self.random.randrange(12)}",
+            f"Deadline-Remaining-Ms: {int(CALLER_PATIENCE_S * 1000)}",
+            f"Content-Length: {len(body)}",
+        ]
+        writer.write("\r\n".join([*lines, "", ""]).encode() + body)
+        try:
+            async with asyncio.timeout(CALLER_PATIENCE_S):
+                answer = await read_answer(reader)
+        finally:
+            asked.ended_at = time.monotonic()
+        asked.status, asked.body = answer.status, answer.body
+        asked.signed = "server-signature" in answer.headers
+        return answer
+
+
+def temporary_folder() -> tempfile.TemporaryDirectory[str]:
+    """Return a folder for settings and logs."""
+    return tempfile.TemporaryDirectory(prefix="masticdeck-soak-")
--- /dev/null
+++ b/testing/soak/test_ledger.py
@@ -0,0 +1,99 @@
+"""Each promise of the soak is seen to be broken, and only then."""
+
+from __future__ import annotations
+
+import pytest
+
+from soak.ledger import Asked, Ledger, Ran
+
+
+def ledger(asked: Asked, *ran: Ran, **fields) -> Ledger:
+    return Ledger(asked={asked.id: asked}, ran=list(ran), **fields)
+
+
+def asked(**fields) -> Asked:
+    values = {
+        "id": "id-1",
+        "unsafe": True,
+        "entry": "entry-0#1",
+        "sent_at": 100.0,
+        "status": 200,
+        "body": b"id-1 s1",
+        "signed": True,
+        "ended_at": 100.2,
+    }
+    return Asked(**{**values, **fields})
+
+
+def ran(**fields) -> Ran:
+    values = {
+        "id": "id-1",
+        "instance": "s1",
+        "service": "s",
+        "target": "/u/a",
+        "at": 100.1,
+    }
+    return Ran(**{**values, **fields})
+
+
+LOST = asked(status=0, body=b"", signed=False)
+
+CASES = [
+    pytest.param(ledger(asked(), ran()), None, id="all well"),
+    pytest.param(ledger(asked(body=b"id-2 s1"), ran()), "MIXED", id="other body"),
+    pytest.param(ledger(asked(body=b""), ran()), "MIXED", id="no body"),
+    pytest.param(ledger(asked(signed=False), ran()), "MIXED", id="unsigned"),
+    pytest.param(ledger(asked(), ran(), ran()), "TWICE", id="unsafe twice"),
+    pytest.param(ledger(asked(unsafe=False), ran(), ran()), None, id="safe twice"),
+    pytest.param(ledger(asked(), ran(id="id-9")), "UNASKED", id="nobody asked"),
+    pytest.param(ledger(asked(status=503), ran()), "REFUSED", id="refused and ran"),
+    pytest.param(ledger(asked(status=503)), None, id="refused"),
+    pytest.param(ledger(asked(status=502), ran()), None, id="unknown and ran"),
+    pytest.param(
+        ledger(asked(), ran(), left={"s1": 97.0}), "DRAIN", id="work after leaving"
+    ),
+    pytest.param(
+        ledger(asked(), ran(), left={"s1": 98.0}), None, id="work while leaving"
+    ),
+    pytest.param(
+        ledger(asked(), ran(), left={"s1": 97.0}, disturbed=[(94.0, 95.0)]),
+        None,
+        id="work after leaving in a fault",
+    ),
+    pytest.param(
+        ledger(asked(), ran(target="/v/a"), versions=[(97.0, "t")]),
+        "CONFIG",
+        id="old version",
+    ),
+    pytest.param(
+        ledger(asked(), ran(target="/v/a"), versions=[(98.0, "t")]),
+        None,
+        id="version on its way",
+    ),
+    pytest.param(
+        ledger(LOST, ran(), planned_stops={"entry-0#1": (99.0, 105.0)}),
+        "LOST",
+        id="cut by a stop",
+    ),
+    pytest.param(
+        ledger(
+            LOST,
+            ran(),
+            planned_stops={"entry-0#1": (99.0, 105.0)},
+            killed={"entry-0#1"},
+        ),
+        None,
+        id="cut by a kill in a stop",
+    ),
+    pytest.param(
+        ledger(asked(), planned_stops={"entry-0#1": (9, 15)}, exits={"entry-0#1": 1}),
+        "STOP",
+        id="stop that failed",
+    ),
+]
+
+
+@pytest.mark.parametrize(("seen", "breach"), CASES)
+def test_promise_is_judged_from_what_was_seen(seen, breach):
+    names = [text.split()[0] for text in seen.breaches()]
+    assert names == ([] if breach is None else [breach])
