Count an instance as silent only after twice a first run

A run for an object new to the instance takes 0.88 s, half of the 1.2 s is 0.6 s: such runs were left in the middle, their work was lost and the object stayed unknown.

Change: run times are kept by route and by whether the instance knows the key; silence counts after twice the longer one, and only if another run still fits. An instance that is cut off or without power shows by unacknowledged bytes after 0.7 s (2 s before).

--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-from masticdeck.ids import InstanceId, ServiceId
+from masticdeck.ids import InstanceId
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import FleetInstance
 
@@ -27,12 +27,6 @@
 FULL_FACTOR = 2
 """Requests at an instance, in slots, from which its own queue is too long."""
 
-LEAST_PATIENCE_S = 0.4
-"""Shortest silence of an instance that counts against it, in seconds."""
-
-PATIENCE_FACTOR = 3.0
-"""Silence that counts, in usual latencies of the service."""
-
 COLD_BURST = 1.0
 """Requests that one entry may send to a cold instance at once."""
 
@@ -80,7 +74,6 @@
 
     def __init__(self) -> None:
         self.by_instance: dict[InstanceId, InstanceRoom] = {}
-        self.usual_s: dict[ServiceId, float] = {}
 
     def get(self, instance: FleetInstance) -> InstanceRoom:
         """Return what is known of an instance."""
@@ -121,15 +114,9 @@
         """
         room.own = max(0, room.own - 1)
 
-    def learn(self, room: InstanceRoom, service: ServiceId, latency_s: float) -> None:
+    def learn(self, room: InstanceRoom, latency_s: float) -> None:
         """Take in how long an answer took."""
         room.latency_s = average(room.latency_s, latency_s)
-        self.usual_s[service] = average(self.usual_s.get(service), latency_s)
-
-    def patience_s(self, service: ServiceId) -> float | None:
-        """Return the silence that counts against an instance of a service."""
-        usual = self.usual_s.get(service)
-        return None if usual is None else max(LEAST_PATIENCE_S, PATIENCE_FACTOR * usual)
 
     def bears_cold(self, room: InstanceRoom, per_s: float, now: float) -> bool:
         """Return whether a cold instance bears one more request from this entry.
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -20,6 +20,7 @@
 from masticdeck.coordination.retries import SharedBudget
 from masticdeck.coordination.room import Rooms
 from masticdeck.coordination.roster import Roster
+from masticdeck.coordination.run_times import RunTimes
 from masticdeck.coordination.trips import TripMeter
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.directory import Directory
@@ -113,6 +114,7 @@
             listed=lambda: settings.entry in self.fleet.entries,
         )
         self.rooms = Rooms()
+        self.runs = RunTimes()
         self.health = Health()
         self.pool = InstancePool()
         self.budget = SharedBudget(
@@ -135,6 +137,7 @@
             dialect=platform.dialect,
             dispatcher=self.dispatcher,
             rooms=self.rooms,
+            runs=self.runs,
             health=self.health,
             budget=self.budget,
             pool=self.pool,
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -28,9 +28,6 @@
 STALE_RESET_S = 0.15
 """Time within which a dropped connection resets a request: two long round trips."""
 
-LARGEST_SILENCE_PART = 0.5
-"""Part of the time left after which an instance counts as silent at the latest."""
-
 
 class AttemptEnd(Enum):
     """How one attempt at an instance ended."""
@@ -115,8 +112,10 @@
         except InstanceSilent as error:
             return self.failed(AttemptEnd.SILENT, error)
         except TimeoutError as error:
-            late = AttemptEnd.LATE if self.sent else AttemptEnd.UNREACHABLE
-            return self.failed(late, error)
+            if not self.sent:
+                return self.failed(AttemptEnd.UNREACHABLE, error)
+            self.learn_run(boottime() - self.began, finished=False)
+            return self.failed(AttemptEnd.LATE, error)
         except ExchangeBroken as error:
             return self.failed(self.classify_broken(), error)
         except OSError as error:
@@ -198,11 +197,11 @@
         An instance that answers other requests meanwhile is busy, not silent.
         """
         service = self.exchange.ticket.service
-        patience = self.forwarder.rooms.patience_s(service)
-        if patience is not None and self.exchange.could_repeat():
-            sent_at = boottime()
-            left = LARGEST_SILENCE_PART * (self.exchange.deadline - sent_at)
-            arrived = await connection.wait_head(min(patience, left))
+        sent_at = boottime()
+        left_s = self.exchange.deadline - sent_at
+        patience_s = self.forwarder.runs.patience_s(self.exchange.route, left_s)
+        if patience_s is not None and self.exchange.could_repeat():
+            arrived = await connection.wait_head(patience_s)
             silent = not arrived and self.room.heard_at < sent_at
             if silent and self.forwarder.budget.affords(service):
                 raise InstanceSilent(f"no answer in {boottime() - sent_at:.3f} s")
@@ -217,7 +216,8 @@
         marks = self.forwarder.dialect.read_answer(head.status, head.headers)
         self.room.heard_at = now
         if not marks.not_run:
-            rooms.learn(self.room, self.exchange.ticket.service, now - self.began)
+            rooms.learn(self.room, now - self.began)
+            self.learn_run(now - self.began)
         if marks.use is not None:
             rooms.report(self.room, marks.use, now)
         if marks.idle_s is not None:
@@ -226,6 +226,12 @@
             connection.reusable = False
         return marks
 
+    def learn_run(self, seconds: float, *, finished: bool = True) -> None:
+        """Take in how long the request ran at the instance."""
+        runs = self.forwarder.runs
+        learn = runs.learn if finished else runs.learn_unfinished
+        learn(self.exchange.route, self.instance.id, self.exchange.ticket.key, seconds)
+
     async def receive(
         self, connection: InstanceConnection, head: AnswerHead, limit: asyncio.Timeout
     ) -> AttemptEnd:
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -11,6 +11,7 @@
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.retries import SharedBudget
 from masticdeck.coordination.room import Rooms
+from masticdeck.coordination.run_times import RunTimes
 from masticdeck.coordination.split import TrafficSplit
 from masticdeck.errors import RequestInvalid
 from masticdeck.events import Code, EventLog
@@ -53,6 +54,7 @@
         dialect: Dialect,
         dispatcher: Dispatcher,
         rooms: Rooms,
+        runs: RunTimes,
         health: Health,
         budget: SharedBudget,
         pool: InstancePool,
@@ -64,6 +66,7 @@
         self.dialect = dialect
         self.dispatcher = dispatcher
         self.rooms = rooms
+        self.runs = runs
         self.health = health
         self.budget = budget
         self.pool = pool
@@ -184,6 +187,7 @@
     def forget(self, instance: FleetInstance) -> None:
         """Drop what is known of an incarnation that is gone."""
         self.rooms.forget(instance.id)
+        self.runs.forget(instance.id)
         self.health.remove(instance.id)
         self.pool.drop(instance)
 
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -25,8 +25,13 @@
 MAX_HEAD_BYTES = 65_536
 """Longest head that an instance may send, in bytes."""
 
-UNACKED_MS = 2_000
-"""How long sent bytes may stay unacknowledged before the kernel gives up."""
+UNACKED_MS = 700
+"""How long sent bytes may stay unacknowledged before the kernel gives up.
+
+Two retransmissions at the kernel's least timeout of 200 ms fit into it. A busy
+instance acknowledges at once, so only one that is cut off or without power
+loses its connections.
+"""
 
 HeadFilter = Callable[[int, HeaderList], bool]
 
