Keep instances' own queues from those that others are waiting before

Cause: a request that has waited long enough goes into the short queue of an instance, whoever else waits. In a flood of low rank the urgent requests of the same service then find every slot taken.

Ruled out: the order of the entry's own queue, which is by rank already.

Change: the queue of an instance is not used while a more urgent request waits for the service.

--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -121,7 +121,12 @@
                 queue.remove(ticket)
 
     def take_full(self, ticket: Ticket) -> FleetInstance | None:
-        """Return the emptiest instance for its own queue, if that is short."""
+        """Return the emptiest instance for its own queue, if that is short.
+
+        Nobody can overtake there, so it is not used past a more urgent request.
+        """
+        if self.is_behind(ticket):
+            return None
         now = boottime()
         candidates = [
             instance
--- a/testing/coordination/test_dispatch.py
+++ b/testing/coordination/test_dispatch.py
@@ -121,6 +121,18 @@
     assert dispatcher.waiting[SERVICE] == []
 
 
+async def test_own_queue_of_an_instance_is_not_used_past_a_more_urgent_request(
+    dispatcher,
+):
+    await fill(dispatcher)
+    urgent = asyncio.create_task(acquire(dispatcher, ticket(0)))
+    await asyncio.sleep(0)
+    assert dispatcher.take_full(ticket(2)) is None
+    release(dispatcher)
+    assert await urgent == "one"
+    assert dispatcher.take_full(ticket(2)) is not None
+
+
 async def test_cancelled_request_leaves_its_place(dispatcher):
     await fill(dispatcher)
     waiting = asyncio.create_task(acquire(dispatcher, ticket()))
