Let reports of load fade into their average

Cause: a report counted for 0.6 s and then for nothing, after which each entry used half of an instance's slots. Nine entries with two requests each are 18 on 4 slots.

Ruled out: passing loads between entries, which a play of load does not need at this size; a half-life of 0.3 or 2.5 s (more cuts, or more refusals on a calm load).

Change: the weight of a report halves every 1.2 s, and what it loses goes to the average of all reports. An entry still always has one request at an instance whose report is older than that. A refusal counts as three times the slots.

--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -4,22 +4,25 @@
 each other, so an instance fills up although no single entry sends much. Each
 answer tells how many requests of all entries run and wait there; between
 answers an entry knows only its own. The estimate is the entry's own requests
-plus what others had there, the latter trusted for ``REPORT_TRUST_S``.
+plus what others had there. An old report fades into the average of all
+reports rather than into nothing, since an instance that was full is usually
+still full.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 from masticdeck.ids import InstanceId
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import FleetInstance
 
-REPORT_TRUST_S = 0.6
-"""Age in seconds up to which a report of load counts; about one service time."""
+REPORT_HALF_LIFE_S = 1.2
+"""Time in seconds in which a report loses half of its weight: a long service time."""
 
 UNKNOWN_PART = 0.5
-"""Part of an instance's slots that one entry uses without a recent report."""
+"""Part of an instance's slots that one entry uses before the first report."""
 
 LATENCY_WEIGHT = 0.2
 """Weight of a new latency in the moving average."""
@@ -27,6 +30,12 @@
 FULL_FACTOR = 2
 """Requests at an instance, in slots, from which its own queue is too long."""
 
+SHED_FACTOR = 3
+"""Requests at an instance that turns one away, in slots, at the least.
+
+The estimate falls to ``FULL_FACTOR`` after about 0.7 s.
+"""
+
 COLD_BURST = 1.0
 """Requests that one entry may send to a cold instance at once."""
 
@@ -36,33 +45,41 @@
     """What one entry knows of the use of one instance.
 
     ``own`` counts this entry's requests there; ``others`` those of other
-    entries at ``reported_at``. ``heard_at`` is the boot time of the latest
-    answer of any kind. ``cold_credit`` is the number of requests that a
-    cold instance may get from this entry.
+    entries at ``reported_at``, ``usual_others`` the average of all reports.
+    ``heard_at`` is the boot time of the latest answer of any kind.
+    ``cold_credit`` is the number of requests that a cold instance may get from
+    this entry.
     """
 
     slots: int
     own: int = 0
     others: int = 0
+    usual_others: float = 0.0
     reported_at: float = float("-inf")
     latency_s: float | None = None
     heard_at: float = float("-inf")
     cold_credit: float = COLD_BURST
     cold_at: float = 0.0
 
-    def has_fresh_report(self, now: float) -> bool:
-        """Return whether the instance reported its load a moment ago."""
-        return now - self.reported_at < REPORT_TRUST_S
+    def used(self, now: float) -> float:
+        """Return the estimated number of requests at the instance.
 
-    def used(self, now: float) -> int:
-        """Return the estimated number of requests at the instance."""
-        return self.own + (self.others if self.has_fresh_report(now) else 0)
+        What others have there is taken from the last report, and the more from
+        the average of all reports the older that one is.
+        """
+        weight = math.exp2((self.reported_at - now) / REPORT_HALF_LIFE_S)
+        latest = self.others - self.usual_others
+        return self.own + self.usual_others + weight * latest
 
     def has_room(self, now: float) -> bool:
-        """Return whether one more request would find a slot."""
-        if self.has_fresh_report(now):
-            return self.used(now) < self.slots
-        return self.own < max(1, int(self.slots * UNKNOWN_PART))
+        """Return whether one more request would find a slot.
+
+        An entry always has one request at an instance: its answer is a report.
+        """
+        if self.reported_at == float("-inf"):
+            return self.own < max(1, int(self.slots * UNKNOWN_PART))
+        outdated = now - self.reported_at > REPORT_HALF_LIFE_S
+        return (outdated and self.own == 0) or self.used(now) <= self.slots - 1
 
     def has_queue(self, now: float) -> bool:
         """Return whether one more request would find a short queue at most."""
@@ -100,11 +117,12 @@
         """
         room.slots = use.slots
         room.others = max(0, use.running + use.waiting - room.own)
+        room.usual_others = average(room.usual_others, room.others)
         room.reported_at = now
 
     def report_full(self, room: InstanceRoom, now: float) -> None:
         """Take in that an instance turned a request away."""
-        room.others = max(room.others, FULL_FACTOR * room.slots)
+        room.others = max(room.others, SHED_FACTOR * room.slots)
         room.reported_at = now
 
     def end(self, room: InstanceRoom) -> None:
--- a/src/masticdeck/gateway/inspection.py
+++ b/src/masticdeck/gateway/inspection.py
@@ -91,7 +91,8 @@
             "zone": instance.zone,
             "slots": room.slots,
             "own": room.own,
-            "others": room.others if room.has_fresh_report(now) else None,
+            "others": room.others,
+            "report_age_s": round(min(now - room.reported_at, 1e6), 3),
             "latency_ms": None
             if room.latency_s is None
             else round(room.latency_s * 1000),
