Send no request that can no longer end in time

A cut run wastes its slot and leaves the object unknown, so the next request for it is cut as well.

Change: a dispatcher compares the time left with the expected run, and with the expected wait where it uses an instance's own queue. A request that fits nowhere any more is refused at once. New requests are tried even if the timeout is shorter than a run, so that an outdated expectation corrects itself.

--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -4,7 +4,9 @@
 the instances' own queues, where nobody can overtake. A request waits for one of
 the instances that placement allows it; each end of a request, and each report
 of a free slot, serves the waiting requests in the order of rank and deadline.
-What gets no room in time is refused, with a hint of when room is likely.
+What gets no room in time is refused, with a hint of when room is likely. A
+request that can no longer end in time at an instance is not sent there: the run
+would be cut, and its slot would serve nobody.
 """
 
 from __future__ import annotations
@@ -18,6 +20,7 @@
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.placement import Placement
 from masticdeck.coordination.room import InstanceRoom, Rooms
+from masticdeck.coordination.run_times import RunTimes
 from masticdeck.ids import InstanceId, ServiceId
 from masticdeck.state.fleet import Fleet, FleetInstance
 from masticdeck.state.routes import Route
@@ -25,6 +28,13 @@
 RECHECK_S = 0.02
 """Seconds between checks while requests wait: reports of load run out too."""
 
+LONGEST_RUN_PART = 0.75
+"""Part of a route's timeout that a run is expected to take at most.
+
+Requests of a route whose timeout is shorter than its runs are still tried while
+they are new, since the expectation may be outdated.
+"""
+
 SLOW_RATIO = 2.5
 """How much slower than the next instance the first one must be to lose its turn."""
 
@@ -43,13 +53,15 @@
     """A request that wants an instance.
 
     ``tried`` are instances that already failed it. ``due`` is the boot time by
-    which an answer is wanted, which orders requests of the same priority.
+    which an answer is wanted, which orders requests of the same priority;
+    ``deadline`` is the one after which no answer is of use.
     """
 
     route: Route
     service: ServiceId
     key: str | None
     due: float
+    deadline: float
     tried: set[InstanceId] = field(default_factory=set)
     waiter: asyncio.Future[FleetInstance] | None = None
 
@@ -67,6 +79,7 @@
         fleet: Fleet,
         placement: Placement,
         rooms: Rooms,
+        runs: RunTimes,
         health: Health,
         *,
         entries: Callable[[], int],
@@ -74,6 +87,7 @@
         self.fleet = fleet
         self.placement = placement
         self.rooms = rooms
+        self.runs = runs
         self.health = health
         self.entries = entries
         self.waiting: dict[ServiceId, list[Ticket]] = {}
@@ -89,9 +103,11 @@
             instance = self.select(ticket)
             if instance is not None:
                 return instance
-        if not self.candidates(ticket):
+        candidates = self.candidates(ticket)
+        if not candidates:
             raise NoInstance
-        return await self.wait(ticket, until)
+        latest = max(self.latest_start(ticket, one) for one in candidates)
+        return await self.wait(ticket, min(until, latest))
 
     def is_behind(self, ticket: Ticket) -> bool:
         """Return whether a more urgent request waits for the same service."""
@@ -132,6 +148,8 @@
             instance
             for instance in self.candidates(ticket)
             if self.rooms.get(instance).has_queue(now)
+            and now + self.queue_s(ticket, instance, now)
+            <= self.latest_start(ticket, instance)
         ]
         if not candidates:
             return None
@@ -140,6 +158,21 @@
         self.rooms.begin(chosen)
         return chosen
 
+    def expected_s(self, ticket: Ticket, instance: FleetInstance) -> float:
+        """Return how long a request runs at an instance, 0 when that is unknown."""
+        expected = self.runs.expected_s(ticket.route, instance.id, ticket.key)
+        return min(expected or 0.0, LONGEST_RUN_PART * ticket.route.timeout_s)
+
+    def latest_start(self, ticket: Ticket, instance: FleetInstance) -> float:
+        """Return the boot time until which a run at an instance ends in time."""
+        return ticket.deadline - self.expected_s(ticket, instance)
+
+    def queue_s(self, ticket: Ticket, instance: FleetInstance, now: float) -> float:
+        """Return the expected wait in an instance's own queue, in seconds."""
+        room = self.rooms.get(instance)
+        ahead = max(0.0, room.used(now) - room.slots + 1)
+        return ahead / room.slots * self.expected_s(ticket, instance)
+
     def release(self, room: InstanceRoom) -> None:
         """Count the end of a request and serve those that wait."""
         self.rooms.end(room)
@@ -170,6 +203,7 @@
             instance
             for instance in self.candidates(ticket)
             if self.rooms.get(instance).has_room(now)
+            and now <= self.latest_start(ticket, instance)
         ]
         if not free:
             return None
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -128,6 +128,7 @@
             self.fleet,
             self.placement,
             self.rooms,
+            self.runs,
             self.health,
             entries=self.count_entries,
         )
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -65,6 +65,7 @@
             service=forwarder.split.choose(self.route),
             key=self.marks.affinity,
             due=request.received_at + self.route.objective_s,
+            deadline=self.deadline,
         )
         self.attempts = 0
         self.ends: list[AttemptEnd] = []
--- a/testing/coordination/load_play.py
+++ b/testing/coordination/load_play.py
@@ -20,6 +20,7 @@
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.placement import Placement
 from masticdeck.coordination.room import Rooms
+from masticdeck.coordination.run_times import RunTimes
 from masticdeck.ids import InstanceId, ServiceId, ZoneId
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import Fleet, FleetInstance
@@ -76,23 +77,34 @@
         return InstanceUse(self.running, self.waiting, self.known.slots)
 
     async def run(self, key: str, work_s: float) -> bool:
-        """Run a request; return False when it was shed."""
+        """Run a request; return False when it was shed.
+
+        One that is cancelled leaves its slot, and its object stays unknown.
+        """
         if self.waiting >= QUEUE_PER_SLOT * self.known.slots:
             return False
         self.waiting += 1
-        async with self.freed:
-            await self.freed.wait_for(lambda: self.running < self.known.slots)
-        self.waiting -= 1
+        try:
+            async with self.freed:
+                await self.freed.wait_for(lambda: self.running < self.known.slots)
+        finally:
+            self.waiting -= 1
         self.running += 1
-        await asyncio.sleep(work_s * (WARM_PART if key in self.cache else 1.0))
+        try:
+            await asyncio.sleep(work_s * (WARM_PART if key in self.cache else 1.0))
+            self.keep(key)
+        finally:
+            self.running -= 1
+            async with self.freed:
+                self.freed.notify()
+        return True
+
+    def keep(self, key: str) -> None:
+        """Put an object into the cache, at the expense of the oldest one."""
         self.cache[key] = None
         self.cache.move_to_end(key)
         while len(self.cache) > KEPT_OBJECTS:
             self.cache.popitem(last=False)
-        self.running -= 1
-        async with self.freed:
-            self.freed.notify()
-        return True
 
 
 @dataclass
@@ -102,6 +114,7 @@
     asked: int = 0
     served: int = 0
     in_objective: int = 0
+    cut: int = 0
 
     @property
     def share_in_objective(self) -> float:
@@ -131,6 +144,7 @@
                 self.fleet,
                 Placement(self.fleet, zone=ZoneId(zones[number % len(zones)])),
                 Rooms(),
+                RunTimes(),
                 Health(seed=seed),
                 entries=lambda: ENTRIES,
             )
@@ -158,7 +172,13 @@
         tally = self.tallies.setdefault(route.priority, Tally())
         tally.asked += 1
         began = loop.time()
-        ticket = Ticket(route, SERVICE, key, began + route.objective_s)
+        ticket = Ticket(
+            route=route,
+            service=SERVICE,
+            key=key,
+            due=began + route.objective_s,
+            deadline=began + route.timeout_s,
+        )
         for _ in range(route.max_attempts):
             limit = began + WAIT_PART * route.objective_s
             try:
@@ -171,15 +191,39 @@
             except NoInstance:
                 return
             ticket.tried.add(chosen.id)
-            room = dispatcher.rooms.get(chosen)
-            played = self.played[chosen.id]
-            ran = await played.run(f"{route.id}/{key}", work_s)
-            dispatcher.rooms.report(room, played.use(), loop.time())
-            dispatcher.release(room)
-            if ran:
+            if await self.send(dispatcher, ticket, chosen, work_s):
                 tally.served += 1
                 tally.in_objective += loop.time() - began <= route.objective_s
                 return
+            if loop.time() >= ticket.deadline:
+                tally.cut += 1
+                return
+
+    async def send(
+        self,
+        dispatcher: Dispatcher,
+        ticket: Ticket,
+        chosen: FleetInstance,
+        work_s: float,
+    ) -> bool:
+        """Run a request at an instance until its deadline."""
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        room = dispatcher.rooms.get(chosen)
+        played = self.played[chosen.id]
+        learned = ticket.route, chosen.id, ticket.key
+        try:
+            async with asyncio.timeout_at(ticket.deadline):
+                ran = await played.run(f"{ticket.route.id}/{ticket.key}", work_s)
+            dispatcher.rooms.report(room, played.use(), loop.time())
+            if ran:
+                dispatcher.runs.learn(*learned, loop.time() - began)
+            return ran
+        except TimeoutError:
+            dispatcher.runs.learn_unfinished(*learned, loop.time() - began)
+            return False
+        finally:
+            dispatcher.release(room)
 
 
 def run_play(play_body, monkeypatch: pytest.MonkeyPatch) -> None:
--- a/testing/coordination/test_dispatch.py
+++ b/testing/coordination/test_dispatch.py
@@ -17,6 +17,7 @@
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.placement import Placement
 from masticdeck.coordination.room import Rooms
+from masticdeck.coordination.run_times import RunTimes
 from masticdeck.ids import InstanceId, ServiceId, ZoneId
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import Fleet
@@ -43,14 +44,23 @@
         fleet,
         Placement(fleet, zone=ZoneId("a1")),
         Rooms(),
+        RunTimes(),
         Health(seed=1),
         entries=lambda: 4,
     )
 
 
-def ticket(priority: int = 1, *, key: str | None = None, due: float = 0.0) -> Ticket:
-    route = replace(build_route(sticky=key is not None), priority=priority)
-    return Ticket(route=route, service=SERVICE, key=key, due=due)
+def ticket(
+    priority: int = 1,
+    *,
+    key: str | None = None,
+    due: float = 0.0,
+    timeout_s: float = 2.0,
+) -> Ticket:
+    route = build_route(sticky=key is not None)
+    route = replace(route, priority=priority, timeout_s=timeout_s)
+    deadline = boottime() + route.timeout_s
+    return Ticket(route=route, service=SERVICE, key=key, due=due, deadline=deadline)
 
 
 def report(dispatcher: Dispatcher, name: str, running: int) -> None:
@@ -121,6 +131,48 @@
     assert dispatcher.waiting[SERVICE] == []
 
 
+async def test_request_that_cannot_end_in_time_is_refused_without_further_wait(
+    dispatcher,
+):
+    await fill(dispatcher)
+    dispatcher.runs.learn(build_route(), InstanceId("one"), None, 1.4)
+    began = boottime()
+    with pytest.raises(NoRoom):
+        await acquire(dispatcher, ticket(timeout_s=1.5), 5.0)
+    assert boottime() - began < 1.0
+
+
+async def test_request_that_cannot_end_in_time_gets_no_slot(dispatcher):
+    report(dispatcher, "one", 0)
+    dispatcher.runs.learn(build_route(), InstanceId("one"), None, 1.0)
+    late = ticket()
+    late.deadline = boottime() + 0.9
+    with pytest.raises(NoRoom):
+        await acquire(dispatcher, late)
+    late.deadline = boottime() + 1.1
+    assert await acquire(dispatcher, late) == "one"
+
+
+@pytest.mark.parametrize(
+    ("left_s", "chosen"), [(1.4, None), (1.6, "one")], ids=["too late", "in time"]
+)
+async def test_own_queue_of_an_instance_is_used_only_in_time(
+    dispatcher, left_s, chosen
+):
+    await fill(dispatcher)
+    dispatcher.runs.learn(build_route(), InstanceId("one"), None, 1.0)
+    wanted = ticket()
+    wanted.deadline = boottime() + left_s
+    found = dispatcher.take_full(wanted)
+    assert (None if found is None else found.id) == chosen
+
+
+async def test_new_request_is_tried_although_runs_outlast_the_timeout(dispatcher):
+    report(dispatcher, "one", 0)
+    dispatcher.runs.learn(build_route(), InstanceId("one"), None, 4.0)
+    assert await acquire(dispatcher, ticket(timeout_s=1.0)) == "one"
+
+
 async def test_own_queue_of_an_instance_is_not_used_past_a_more_urgent_request(
     dispatcher,
 ):
@@ -150,7 +202,7 @@
 
 
 async def test_service_without_instances_is_told_at_once(dispatcher):
-    unknown = Ticket(build_route(), ServiceId("nothing"), None, 0.0)
+    unknown = replace(ticket(), service=ServiceId("nothing"))
     with pytest.raises(NoInstance):
         await acquire(dispatcher, unknown)
 
--- a/testing/coordination/test_load_plays.py
+++ b/testing/coordination/test_load_plays.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from masticdeck.coordination import placement
+from masticdeck.coordination import dispatch, placement
 from masticdeck.state.routes import RouteId
 from testing.coordination.load_play import Play, Tally, run_play
 from testing.coordination.test_placement import build_route
@@ -76,6 +76,30 @@
     assert tallies[0].share_in_objective >= tallies[2].share_in_objective
 
 
+def play_after_a_cold_start(seed: int, monkeypatch) -> Tally:
+    """Play a service that bears its load only while most objects are known."""
+    tallies: list[Tally] = []
+
+    async def body() -> None:
+        play = Play(seed, instances=9, slots=4)
+        route = replace(build_route(), objective_s=0.6, timeout_s=1.2)
+        await play.offer(route, per_s=95, work_s=0.88, keys=72, seconds=25)
+        tallies.append(play.tallies[route.priority])
+
+    run_play(body, monkeypatch)
+    return tallies[0]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_fewer_runs_are_cut_when_none_is_begun_too_late(seed, monkeypatch):
+    bounded = play_after_a_cold_start(seed, monkeypatch)
+    monkeypatch.setattr(dispatch, "LONGEST_RUN_PART", 0.0)
+    unbounded = play_after_a_cold_start(seed, monkeypatch)
+    assert bounded.cut < unbounded.cut
+    assert bounded.served > unbounded.served
+    assert bounded.in_objective > unbounded.in_objective
+
+
 def test_play_repeats_exactly(monkeypatch):
     first = play_one_route(1, monkeypatch, sticky=True)
     assert first == play_one_route(1, monkeypatch, sticky=True)
