Tell an outage of the store from the loss of a source

Both watchers of a region lay in the zone that was cut, an entry followed them by turns until its copy was older than 2.5 s, and took the removal that it then read for a lapse in an outage: the instance stayed in use for 2 s.

Ruled out: a late removal at the store; the entry's own calls all succeeded.

Change: only failed calls of the store make an outage, the entry's own or, told along with the records, those of its source. The two watchers of a region lie in different zones where it has some. After a failure the next source is outside that zone: a watcher of the region, of another one, then any entry. Watches wait 1.2 s instead of 1.8 s, and a source is left when its copy is 2 s old instead of 3 s, so that a watcher cut off from the store holds its followers back less.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -10,6 +10,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
@@ -23,8 +24,8 @@
 from masticdeck.ids import Revision
 from masticdeck.protocol.store import Change, KeyValue, Store
 
-WATCH_WAIT_S = 1.8
-"""Longest wait of a watch, so that the age of the copy stays near two seconds."""
+WATCH_WAIT_S = 1.2
+"""Longest wait of a watch, so that the age of the copy stays below two seconds."""
 
 PACE_S = 0.4
 """Least seconds between two answers of a watch, so that changes are batched."""
@@ -39,7 +40,7 @@
 """Seconds between checks of an entry that leaves following to others."""
 
 OUTAGE_S = 2.5
-"""Time without contact after which records may have lapsed meanwhile."""
+"""Time without an answer of the store after which records may have lapsed."""
 
 KEPT_CHANGES = 2_000
 """Latest changes kept for other entries, before they need a full copy."""
@@ -60,17 +61,24 @@
 class FeedPart:
     """Records for another entry: all of them, or the changes it lacks.
 
-    ``age_s`` is how long ago the sender last heard from the store.
+    ``age_s`` is how long ago the sender last heard from the store, and
+    ``outage_ended_s`` how long ago it saw an outage of the store end.
     """
 
     whole: bool
     changes: tuple[Change, ...]
     revision: Revision
     age_s: float
+    outage_ended_s: float = math.inf
 
 
 class RecordCopy:
-    """A copy of the platform's records by key, each at its newest revision."""
+    """A copy of the platform's records by key, each at its newest revision.
+
+    Without contact for ``OUTAGE_S`` the copy has seen an outage of the store only
+    if calls of the store failed meanwhile, here or at the source of the copy. An
+    entry that has merely lost its source takes removed records for removed.
+    """
 
     def __init__(self, listener: FeedListener) -> None:
         self.listener = listener
@@ -80,6 +88,7 @@
         self.recent: deque[Change] = deque(maxlen=KEPT_CHANGES)
         self.recent_from = Revision(0)
         self.confirmed_at = float("-inf")
+        self.store_failed_at = float("-inf")
         self.restored_at = float("-inf")
         self.waiters: set[asyncio.Future[None]] = set()
 
@@ -110,12 +119,24 @@
         """Return the seconds since the copy was last known to be current."""
         return now - self.confirmed_at
 
-    def confirm(self, at: float, now: float) -> None:
-        """Note that the copy was current at boot time ``at``."""
+    def note_store_failure(self, now: float) -> None:
+        """Note that a call of the store failed."""
+        self.store_failed_at = now
+
+    def confirm(
+        self, at: float, now: float, *, outage_ended_s: float = math.inf
+    ) -> None:
+        """Note that the copy was current at boot time ``at``.
+
+        ``outage_ended_s`` is how long ago its source saw an outage end.
+        """
         if at <= self.confirmed_at:
             return
-        if OUTAGE_S < now - self.confirmed_at < float("inf"):
-            self.restored_at = now
+        if OUTAGE_S < now - self.confirmed_at < math.inf:
+            if self.store_failed_at > self.confirmed_at:
+                self.restored_at = now
+            elif outage_ended_s < OUTAGE_S:
+                self.restored_at = now - outage_ended_s
         self.confirmed_at = at
 
     def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
@@ -166,13 +187,16 @@
         if revision < self.recent_from:
             items = self.items.values()
             changes = tuple(Change(one.key, one.value, one.revision) for one in items)
-            return FeedPart(True, changes, self.revision, age)
+            return FeedPart(True, changes, self.revision, age, now - self.restored_at)
         newer = tuple(one for one in self.recent if one.revision > revision)
-        return FeedPart(False, newer, self.revision, age)
+        return FeedPart(False, newer, self.revision, age, now - self.restored_at)
 
     def take_part(self, part: FeedPart, now: float) -> None:
         """Take records from another entry's copy."""
         current = part.revision >= self.revision
+        if current:
+            at = now - part.age_s
+            self.confirm(at, now, outage_ended_s=part.outage_ended_s)
         if part.whole:
             if current:
                 items = [
@@ -183,8 +207,6 @@
                 self.replace(items, part.revision)
         else:
             self.extend(part.changes, part.revision)
-        if current:
-            self.confirm(now - part.age_s, now)
 
 
 class StoreFeed(BackgroundTask):
@@ -244,7 +266,8 @@
         self.copy.extend(changes.changes, changes.revision)
 
     def note_failure(self, error: Exception) -> None:
-        """Record the first failure in a row."""
+        """Record a failure, and log the first one in a row."""
+        self.copy.note_store_failure(boottime())
         if not self.failing:
             self.failing = True
             self.events.emit(
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -2,14 +2,16 @@
 
 Only ``WATCHERS_PER_REGION`` entries of a region follow the store; the others
 follow one of them, so that the store's load does not grow with the fleet. An
-entry that loses its source takes another one: a watcher of its region first,
-then any entry. The same way serves a watcher that the store turns away.
+entry that loses its source takes another one, outside the zone of the one that
+failed: a watcher of its region first, then one of another region, then any entry.
+The same way serves a watcher that the store turns away.
 """
 
 from __future__ import annotations
 
 import asyncio
 import logging
+import math
 import random
 from typing import TYPE_CHECKING
 
@@ -20,7 +22,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.feed import FeedPart, RecordCopy, StoreFeed
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import EntryId, Revision
+from masticdeck.ids import EntryId, RegionId, Revision, ZoneId
 from masticdeck.protocol.generated.feed_grpc import FeedBase, FeedStub
 from masticdeck.protocol.generated.feed_pb2 import (
     FeedPartMessage,
@@ -36,6 +38,9 @@
 WATCHERS_PER_REGION = 2
 """Entries of a region that follow the store: one may fail unnoticed."""
 
+DISTRUST_S = 5.0
+"""Time in seconds for which a zone in which a source failed is avoided."""
+
 KEEP_ALIVE_S = 0.3
 """Seconds between parts of a stream when nothing changes."""
 
@@ -45,7 +50,7 @@
 CHECK_S = 0.2
 """Seconds between checks whether another entry's copy is needed."""
 
-OLDEST_PART_S = 3.0
+OLDEST_PART_S = 2.0
 """Age of a copy from which another source is tried, the store included."""
 
 
@@ -60,18 +65,30 @@
         self.fleet = fleet
         self.own = own
 
-    def of_region(self) -> list[EntryId]:
+    def own_region(self) -> list[EntryId]:
         """Return the watchers of this entry's region, the first one first."""
+        return self.of_region(self.fleet.region_of[self.own.zone])
+
+    def of_region(self, region: RegionId) -> list[EntryId]:
+        """Return the watchers of a region, in different zones if it has some."""
         region_of = self.fleet.region_of
-        region = region_of[self.own.zone]
-        entries = {
-            one.id
+        zones = {
+            one.id: one.zone
             for one in self.fleet.entries.values()
             if region_of.get(one.zone) == region
         }
-        entries.add(self.own.id)
-        ranked = sorted(entries, key=lambda one: xxhash.xxh64_intdigest(one.encode()))
-        return ranked[:WATCHERS_PER_REGION]
+        if region_of[self.own.zone] == region:
+            zones[self.own.id] = self.own.zone
+        ranked = sorted(zones, key=lambda one: xxhash.xxh64_intdigest(one.encode()))
+        first = ranked[:1]
+        elsewhere = [one for one in ranked if zones[one] != zones[ranked[0]]]
+        return first + (elsewhere or ranked[1:])[: WATCHERS_PER_REGION - 1]
+
+    def of_other_regions(self) -> set[EntryId]:
+        """Return the watchers of all regions but this entry's."""
+        own = self.fleet.region_of[self.own.zone]
+        regions = set(self.fleet.region_of.values()) - {own}
+        return {one for region in regions for one in self.of_region(region)}
 
     def includes_own(self, copy: RecordCopy) -> bool:
         """Return whether this entry follows the store.
@@ -80,7 +97,7 @@
         """
         if copy.age_s(boottime()) > OLDEST_PART_S:
             return True
-        return self.own.id in self.of_region()
+        return self.own.id in self.own_region()
 
 
 class FeedService(FeedBase):
@@ -121,6 +138,7 @@
         self.events = events
         self.random = random.Random(seed)
         self.last: EntryId | None = None
+        self.failed_at: dict[ZoneId, float] = {}
 
     async def run(self) -> None:
         """Follow one source after the other while that is needed."""
@@ -135,13 +153,28 @@
         return self.store_feed.failing or not self.store_feed.wanted()
 
     def choose_source(self) -> FleetEntry | None:
-        """Return a watcher of the region, or another entry, but not the last one."""
-        entries = self.watchers.fleet.entries
-        others = [one for one in entries if one != self.watchers.own.id]
-        fresh = [one for one in others if one != self.last] or others
-        near = [one for one in self.watchers.of_region() if one in fresh]
-        chosen = near or fresh
-        return entries[self.random.choice(chosen)] if chosen else None
+        """Return one of the best sources, away from those that have just failed."""
+        others = [
+            one
+            for one in self.watchers.fleet.entries.values()
+            if one.id != self.watchers.own.id
+        ]
+        if not others:
+            return None
+        near = set(self.watchers.own_region())
+        far = self.watchers.of_other_regions()
+        ranks = {one.id: self.rank(one, near, far) for one in others}
+        best = min(ranks.values())
+        return self.random.choice([one for one in others if ranks[one.id] == best])
+
+    def rank(
+        self, source: FleetEntry, near: set[EntryId], far: set[EntryId]
+    ) -> tuple[bool, bool, int]:
+        """Return the rank of a source: lower ones are followed first."""
+        failed_at = self.failed_at.get(source.zone, float("-inf"))
+        distrusted = boottime() - failed_at < DISTRUST_S
+        watches = 0 if source.id in near else 1 if source.id in far else 2
+        return distrusted, source.id == self.last, watches
 
     async def follow(self, source: FleetEntry) -> None:
         """Follow one source until it fails or is no longer needed."""
@@ -165,6 +198,8 @@
             )
         finally:
             channel.close()
+        if self.is_needed():
+            self.failed_at[source.zone] = boottime()
 
     async def receive(self, channel: Channel) -> None:
         """Take in the parts of one stream."""
@@ -202,9 +237,15 @@
         records=records,
         revision=part.revision,
         age_ms=round(min(part.age_s, 1e6) * 1000),
+        outage_ended_ms=encode_outage_end(part.outage_ended_s),
     )
 
 
+def encode_outage_end(seconds: float) -> int:
+    """Return the time since an outage in milliseconds, 0 when there was none."""
+    return 0 if seconds == math.inf else max(1, round(min(seconds, 1e6) * 1000))
+
+
 def decode_part(message: FeedPartMessage) -> FeedPart:
     """Return the part of a message."""
     changes = tuple(
@@ -212,5 +253,9 @@
         for one in message.records
     )
     return FeedPart(
-        message.whole, changes, Revision(message.revision), message.age_ms / 1000
+        message.whole,
+        changes,
+        Revision(message.revision),
+        message.age_ms / 1000,
+        message.outage_ended_ms / 1000 or math.inf,
     )
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 
@@ -10,7 +11,7 @@
 
 from masticdeck.clock import HybridClock, boottime
 from masticdeck.coordination import feed_peers
-from masticdeck.coordination.feed import RecordCopy, StoreFeed
+from masticdeck.coordination.feed import FeedPart, RecordCopy, StoreFeed
 from masticdeck.coordination.feed_peers import FeedService, PeerFeed, Watchers
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, Revision, ZoneId
@@ -18,7 +19,7 @@
 from masticdeck.state.fleet import Fleet, FleetEntry
 from masticdeck.transport.peers import PeerServer
 
-REGION_OF = {ZoneId("a1"): "a", ZoneId("b1"): "b"}
+REGION_OF = {ZoneId("a1"): "a", ZoneId("a2"): "a", ZoneId("b1"): "b"}
 WAIT_S = 10.0
 
 
@@ -182,7 +183,54 @@
         for name in names:
             fleet.entries[EntryId(name)] = entry(name, "a1")
         fleet.entries[EntryId("far")] = entry("far", "b1")
-        chosen.add(tuple(Watchers(fleet, entry(own, "a1")).of_region()))
+        chosen.add(tuple(Watchers(fleet, entry(own, "a1")).own_region()))
     [watchers] = chosen
     assert len(watchers) == feed_peers.WATCHERS_PER_REGION
     assert "far" not in watchers
+
+
+def build_watchers(own: str, **zones: str) -> Watchers:
+    """Return the watchers as an entry sees them that knows entries by zone."""
+    fleet = Fleet(dict(REGION_OF))
+    for name, zone in zones.items():
+        fleet.entries[EntryId(name)] = entry(name, zone)
+    return Watchers(fleet, entry(own, zones.get(own, "a1")))
+
+
+def test_watchers_of_a_region_lie_in_different_zones():
+    for number in range(20):
+        names = {f"{number}-{index}": "a1" for index in range(5)}
+        names[f"{number}-other"] = "a2"
+        watchers = build_watchers("own", **names)
+        zones = {
+            "a1" if one == "own" else watchers.fleet.entries[one].zone
+            for one in watchers.own_region()
+        }
+        assert zones == {"a1", "a2"}
+
+
+def test_source_outside_the_zone_of_a_failed_one_is_followed_next(follower):
+    for name, zone in {"e1": "a2", "e2": "a2", "e3": "a2", "far": "b1"}.items():
+        follower.fleet.entries[EntryId(name)] = entry(name, zone)
+    first = follower.feed.choose_source()
+    assert first is not None
+    assert first.zone == "a2"
+    follower.feed.failed_at[first.zone] = boottime()
+    follower.feed.last = first.id
+    assert follower.feed.choose_source().id == "far"
+    follower.feed.failed_at[ZoneId("b1")] = boottime()
+    assert follower.feed.choose_source().id != first.id
+
+
+def test_zone_is_trusted_again_after_a_while(follower):
+    follower.fleet.entries[EntryId("e1")] = entry("e1", "a2")
+    follower.fleet.entries[EntryId("far")] = entry("far", "b1")
+    follower.feed.failed_at[ZoneId("a2")] = boottime() - feed_peers.DISTRUST_S - 1
+    assert follower.feed.choose_source().id == "e1"
+
+
+def test_time_since_an_outage_travels_with_a_part():
+    for seconds in (math.inf, 0.0, 1.5):
+        part = FeedPart(False, (), Revision(3), 0.25, seconds)
+        decoded = feed_peers.decode_part(feed_peers.encode_part(part))
+        assert decoded.outage_ended_s == pytest.approx(seconds, abs=0.002)
