Take the estimate of an instance's use to the nearest whole request

Cause: with averages in the estimate, an instance with 2.1 expected requests on 3 slots counted as full.

Ruled out: a real lack of slots (2.3 of 3 in use on average).

Change: one more request fits when the estimate rounds to less than the slots.

--- a/src/masticdeck/coordination/room.py
+++ b/src/masticdeck/coordination/room.py
@@ -75,11 +75,12 @@
         """Return whether one more request would find a slot.
 
         An entry always has one request at an instance: its answer is a report.
+        The estimate is taken to the nearest whole request.
         """
         if self.reported_at == float("-inf"):
             return self.own < max(1, int(self.slots * UNKNOWN_PART))
         outdated = now - self.reported_at > REPORT_HALF_LIFE_S
-        return (outdated and self.own == 0) or self.used(now) <= self.slots - 1
+        return (outdated and self.own == 0) or self.used(now) < self.slots - 0.5
 
     def has_queue(self, now: float) -> bool:
         """Return whether one more request would find a short queue at most."""
