Switch off the new mechanisms of the gateway, one at a time

Four more mutants: the latest start of a run, new keys for busy instances, the outage of the store, the zone of a failed source; the one for the region's own keys follows the code. The last but one was alive at first: the source followed before was ruled out for being the last one, not for its zone. Its test now leaves that out.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -13,8 +13,8 @@
         promise="a shift of traffic stays under its cap",
         mechanism="the part of a region's own keys depends on the fleet only",
         file=f"{SOURCE}/coordination/placement.py",
-        old="min(1.0, REGION_MARGIN * regions * slots / max(1, total))",
-        new="min(1.0, REGION_MARGIN * regions)",
+        old="return min(1.0, REGION_MARGIN * self.share(service, Scope.REGION))",
+        new="return 1.0",
         test="testing/coordination/test_placement.py"
         "::test_region_with_few_slots_keeps_few_of_its_keys",
     ),
@@ -36,6 +36,24 @@
         test="testing/coordination/test_dispatch.py"
         "::test_cold_instance_gets_this_entrys_part_of_its_rate",
     ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="runs that would be cut are not begun",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="        return ticket.deadline - self.expected_s(ticket, instance)",
+        new="        return ticket.deadline",
+        test="testing/coordination/test_dispatch.py"
+        "::test_request_that_cannot_end_in_time_gets_no_slot",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="busy instances are given no new keys",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="            or self.load(one, now) < SPILL_LOAD",
+        new="            or True",
+        test="testing/coordination/test_dispatch.py"
+        "::test_second_instance_gets_a_new_key_only_while_it_has_slots_to_spare",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="a reset beside the data is not an end",
@@ -88,6 +106,24 @@
         test="testing/coordination/test_feed_peers.py"
         "::test_follower_of_a_source_with_an_old_copy_takes_another",
     ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="the loss of a source is no outage of the store",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="            if self.store_failed_at > self.confirmed_at:",
+        new="            if True:",
+        test="testing/coordination/test_feed.py"
+        "::test_removal_after_a_lost_source_is_a_removal",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="the zone of a failed source is avoided",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old="        return distrusted, source.id == self.last, watches",
+        new="        return False, source.id == self.last, watches",
+        test="testing/coordination/test_feed_peers.py"
+        "::test_source_outside_the_zone_of_a_failed_one_is_followed_next",
+    ),
     Mutant(
         promise="a planned stop cuts no request",
         mechanism="the stop waits for requests in flight",
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -216,9 +216,9 @@
     assert first is not None
     assert first.zone == "a2"
     follower.feed.failed_at[first.zone] = boottime()
-    follower.feed.last = first.id
     assert follower.feed.choose_source().id == "far"
     follower.feed.failed_at[ZoneId("b1")] = boottime()
+    follower.feed.last = first.id
     assert follower.feed.choose_source().id != first.id
 
 
