Leave a silent instance only for another one that has room

The instance had been left as silent after 0.65 s, no other one had room, and the caller got 502.

Change: the other instance is reserved before the silent one is left, by the route then in force. Without one the request stays, and so it does at an entry that is stopping.

Figures: both new tests fail without it.

--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -144,6 +144,7 @@
             pool=self.pool,
             events=events,
             metrics=metrics,
+            is_leaving=lambda: self.directory.leaving,
         )
         self.view.on_gone.append(self.forwarder.forget)
         self.callers = serve_on(
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -10,6 +10,7 @@
 
 from masticdeck.clock import boottime
 from masticdeck.events import Code
+from masticdeck.ids import ServiceId
 from masticdeck.protocol.dialect import AnswerMarks, Headers
 from masticdeck.state.fleet import FleetInstance
 from masticdeck.transport.http1 import render_request
@@ -203,10 +204,19 @@
         if patience_s is not None and self.exchange.could_repeat():
             arrived = await connection.wait_head(patience_s)
             silent = not arrived and self.room.heard_at < sent_at
-            if silent and self.forwarder.budget.affords(service):
+            if silent and self.may_leave(service):
                 raise InstanceSilent(f"no answer in {boottime() - sent_at:.3f} s")
         return await connection.read_head()
 
+    def may_leave(self, service: ServiceId) -> bool:
+        """Return whether the instance may be left for another one, now reserved.
+
+        An entry that is stopping leaves none: the run may be the last one to end.
+        """
+        if self.forwarder.is_leaving() or not self.forwarder.budget.affords(service):
+            return False
+        return self.exchange.reserve()
+
     def take_marks(
         self, connection: InstanceConnection, head: AnswerHead
     ) -> AnswerMarks:
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -70,6 +70,7 @@
         self.attempts = 0
         self.ends: list[AttemptEnd] = []
         self.fallback: HeldAnswer | None = None
+        self.reserved: FleetInstance | None = None
 
     def find_route(self) -> Route:
         """Return the route in force now, or raise RouteGone."""
@@ -103,6 +104,9 @@
 
     async def find_instance(self) -> FleetInstance | None:
         """Return an instance that may be sent the request now, or None."""
+        if self.reserved is not None:
+            instance, self.reserved = self.reserved, None
+            return instance
         while self.deadline - boottime() >= LEAST_SEND_S:
             self.follow_configuration()
             epoch = self.forwarder.fleet.epoch
@@ -118,6 +122,15 @@
                 return instance
         return None
 
+    def reserve(self) -> bool:
+        """Reserve another instance for the next attempt, if one has room now."""
+        try:
+            self.follow_configuration()
+        except RouteGone:
+            return False
+        self.reserved = self.forwarder.dispatcher.select(self.ticket)
+        return self.reserved is not None
+
     def confirm(self, instance: FleetInstance) -> bool:
         """Return whether the route still leads to an instance that was waited for.
 
@@ -192,6 +205,9 @@
 
     def give_up(self) -> None:
         """Answer for the system itself; a 503 vouches that nothing ran."""
+        if self.reserved is not None:
+            room = self.forwarder.rooms.get(self.reserved)
+            self.forwarder.dispatcher.release(room)
         if self.fallback is not None:
             self.deliver(self.fallback)
             return
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from typing import Any
 
 from masticdeck.clock import boottime
@@ -61,6 +62,7 @@
         pool: InstancePool,
         events: EventLog,
         metrics: Metrics,
+        is_leaving: Callable[[], bool] = lambda: False,
     ) -> None:
         self.fleet = fleet
         self.copy = copy
@@ -73,6 +75,7 @@
         self.pool = pool
         self.events = events
         self.metrics = metrics
+        self.is_leaving = is_leaving
         self.split = TrafficSplit()
 
     def limits(self) -> CallerLimits:
--- a/testing/gateway/test_forward.py
+++ b/testing/gateway/test_forward.py
@@ -322,6 +322,32 @@
     assert sorted(asked) == ["s1", "s2"]
 
 
+async def late(instance, request, writer):
+    await asyncio.sleep(1.0)
+    await answer_well(instance, request, writer)
+
+
+async def test_request_stays_with_a_silent_instance_while_no_other_has_room(world):
+    for _ in range(4):
+        await world.ask("/s/a")
+    world.store.remove("servers/s2")
+    await world.settle()
+    set_all(world, late)
+    before = len(received(world))
+    assert (await world.ask("/s/a")).status == 200
+    assert len(received(world)) == before + 1
+
+
+async def test_request_of_a_stopping_entry_stays_with_a_silent_instance(world):
+    for _ in range(4):
+        await world.ask("/s/a")
+    world.gateway.directory.leaving = True
+    set_all(world, late)
+    before = len(received(world))
+    assert (await world.ask("/s/a")).status == 200
+    assert len(received(world)) == before + 1
+
+
 async def test_unsafe_request_stays_with_a_silent_instance(world):
     for _ in range(4):
         await world.ask("/u/a", method="POST", body=b"x")
