Let large answers leave zones that have few slots

Ruled out: slow links (warm runs are slow only where the zone is full); waiting for a slot at the entries of the other zones (16 to 97 ms on average).

Change: a zone or region with less than 0.6 of an equal share of a service's slots keeps only such a part of the keys of large answers; the others go by the key's hash, to the region and then anywhere. The part depends on the fleet only.

--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -11,7 +11,8 @@
 burst moves nothing between regions. Requests without a key go by distance. Large
 answers come from the nearest instances only, because bytes between zones cost
 more than the work that a warm instance saves; they wait for room there rather
-than go further.
+than go further. A zone or region that has only a small part of a service's slots
+keeps only such a part of its keys, since it would be full of them.
 """
 
 from __future__ import annotations
@@ -34,6 +35,9 @@
 REGION_MARGIN = 0.8
 """Part of a region's share of the slots that its own keys are given."""
 
+SCARCE_PART = 0.6
+"""Part of an equal share of the slots below which a place cannot bear all its keys."""
+
 HASH_RANGE = 1 << 64
 
 MAX_CACHED_ORDERS = 20_000
@@ -68,7 +72,7 @@
         self.far_trip_s = 0.0
         self.epoch = -1
         self.orders: dict[tuple[ServiceId, str, Scope], list[FleetInstance]] = {}
-        self.region_parts: dict[ServiceId, float] = {}
+        self.shares: dict[tuple[ServiceId, Scope], float] = {}
 
     def distance(self, instance: FleetInstance) -> Distance:
         """Return how far an instance is from this entry."""
@@ -104,36 +108,51 @@
 
     def scope(self, route: Route, service: ServiceId, key: str) -> Scope:
         """Return where the instances of a key are chosen from."""
+        place = xxhash.xxh64_intdigest(key.encode()) / HASH_RANGE
         if route.kind is RouteKind.DOWNLOAD:
-            return Scope.ZONE
+            for scope in (Scope.ZONE, Scope.REGION):
+                if place < self.kept_part(service, scope):
+                    return scope
+            return Scope.ANYWHERE
         if not self.is_tight(route):
             return Scope.ANYWHERE
-        place = xxhash.xxh64_intdigest(key.encode()) / HASH_RANGE
         return Scope.REGION if place < self.region_part(service) else Scope.ANYWHERE
 
     def region_part(self, service: ServiceId) -> float:
         """Return the part of its keys that this entry's region serves itself.
 
-        Regions are taken to have equal demand: a region whose slots are fewer
-        than an equal part of all serves fewer of its keys.
+        A region whose slots are fewer than an equal part of all serves fewer.
+        """
+        return min(1.0, REGION_MARGIN * self.share(service, Scope.REGION))
+
+    def kept_part(self, service: ServiceId, scope: Scope) -> float:
+        """Return the part of the keys of large answers that stay inside a scope."""
+        share = self.share(service, scope)
+        return share if share < SCARCE_PART else 1.0
+
+    def share(self, service: ServiceId, scope: Scope) -> float:
+        """Return a service's slots inside a scope, as a part of an equal share.
+
+        Zones and regions are taken to have equal demand.
         """
-        part = self.region_parts.get(service)
-        if part is None:
+        share = self.shares.get((service, scope))
+        if share is None:
             slots = total = 0
             for instance in self.fleet.in_service(service):
                 total += instance.slots
-                if self.distance(instance) is not Distance.FAR:
+                if self.scope_rank(instance, scope) == 0:
                     slots += instance.slots
-            regions = len(set(self.fleet.region_of.values()))
-            part = min(1.0, REGION_MARGIN * regions * slots / max(1, total))
-            self.region_parts[service] = part
-        return part
+            region_of = self.fleet.region_of
+            places = region_of if scope is Scope.ZONE else set(region_of.values())
+            share = len(places) * slots / max(1, total)
+            self.shares[service, scope] = share
+        return share
 
     def drop_outdated(self) -> None:
         """Forget what was worked out for another state of the fleet."""
         if self.epoch != self.fleet.epoch or len(self.orders) > MAX_CACHED_ORDERS:
             self.orders.clear()
-            self.region_parts.clear()
+            self.shares.clear()
             self.epoch = self.fleet.epoch
 
     def nearest(self, instances: list[FleetInstance]) -> list[FleetInstance]:
--- a/testing/coordination/test_placement.py
+++ b/testing/coordination/test_placement.py
@@ -100,6 +100,39 @@
         assert all(one.startswith("a1-") for one in place(fleet, "a2", route, key))
 
 
+def keep_one_instance(fleet: Fleet, *zones: str) -> None:
+    """Remove all instances but one from zones."""
+    for zone in zones:
+        for number in (1, 2):
+            fleet.remove_instance(InstanceId(f"{zone}-{number}"))
+
+
+def first_places(fleet: Fleet, zone: str, route: Route, keys: int) -> Counter[str]:
+    """Return how many keys have their first instance in each zone."""
+    firsts = (place(fleet, zone, route, str(key))[0] for key in range(keys))
+    return Counter(one[:2] for one in firsts)
+
+
+def test_zone_with_few_slots_leaves_large_answers_to_its_region(fleet):
+    keep_one_instance(fleet, "a2")
+    found = first_places(fleet, "a2", build_route(RouteKind.DOWNLOAD), 400)
+    assert set(found) == {"a1", "a2"}
+    assert 0.4 < found["a2"] / 400 < 0.65
+    assert first_places(fleet, "a1", build_route(RouteKind.DOWNLOAD), 50) == {"a1": 50}
+
+
+def test_region_with_few_slots_leaves_large_answers_to_others(fleet):
+    for zone in ("a1", "a2"):
+        keep_one_instance(fleet, zone)
+        fleet.remove_instance(InstanceId(f"{zone}-0"))
+    fleet.put_instance(instance("a1-0", "a1"))
+    for number in (3, 4, 5):
+        fleet.put_instance(instance(f"b1-{number}", "b1"))
+    found = first_places(fleet, "a1", build_route(RouteKind.DOWNLOAD), 400)
+    assert 0.3 < found["a1"] / 400 < 0.6
+    assert set(found) == {"a1", "b1", "b2"}
+
+
 def test_requests_without_a_key_go_to_the_nearest_first(fleet):
     found = place(fleet, "a1", build_route(sticky=False), None)
     assert [one[:2] for one in found] == ["a1"] * 3 + ["a2"] * 3 + ["b1"] * 3 + [
