Let instances of the soak lose answers and send some twice

Change: while the faults last, instances reset 3 % of the connections after the run and send 3 % of the answers twice. The draws have a generator of their own, so that a seed keeps its faults.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -43,6 +43,7 @@
     try:
         await world.start()
         world.load(CALLERS_PER_ENTRY * command.entries)
+        world.spoils_answers = True
         names = list(faults)
         until = time.monotonic() + command.seconds
         while time.monotonic() < until:
@@ -50,6 +51,7 @@
             running.append(asyncio.create_task(fault(world)))
             await asyncio.sleep(world.random.uniform(0.1, 1.5))
         await asyncio.gather(*running)
+        world.spoils_answers = False
         await asyncio.sleep(RECOVERY_S)
         calm_from = time.monotonic()
         await asyncio.sleep(2.0)
--- a/soak/world.py
+++ b/soak/world.py
@@ -36,6 +36,12 @@
 CALLER_PATIENCE_S = 2.0
 GRACE_S = 6.0
 
+LOST_PART = 0.03
+"""Part of the runs during the faults whose answer is lost with its connection."""
+
+EXTRA_PART = 0.03
+"""Part of the answers during the faults that are sent twice."""
+
 
 class Entry:
     """One entry process behind a proxy of its own to the store."""
@@ -96,6 +102,8 @@
 
     def __init__(self, seed: int, folder: Path, *, entries: int) -> None:
         self.random = random.Random(seed)
+        self.answer_random = random.Random(f"answers {seed}")
+        self.spoils_answers = False
         self.folder = folder
         self.entry_count = entries
         self.ledger = Ledger()
@@ -173,7 +181,12 @@
         )
         await asyncio.sleep(self.random.expovariate(1 / WORK_S))
         body = f"{request.id} {instance.id}".encode()
-        writer.write(instance.head(request, 200, len(body)) + body)
+        answer = instance.head(request, 200, len(body)) + body
+        drawn = self.answer_random.random() if self.spoils_answers else 1.0
+        if drawn < LOST_PART:
+            writer.transport.abort()
+            raise ConnectionResetError
+        writer.write(answer * 2 if drawn < LOST_PART + EXTRA_PART else answer)
 
     async def is_ready(self, entry: Entry) -> bool:
         """Return whether an entry says that it wants requests."""
