--- a/src/masticdeck/coordination/run_times.py
+++ b/src/masticdeck/coordination/run_times.py
@@ -27,14 +27,14 @@
 class RunTimes:
     """Run times that this entry has seen, in seconds from sending to the answer.
 
-    >>> from testing.coordination.test_placement import build_route
-    >>> times, route = RunTimes(), build_route()
-    >>> times.learn(route, InstanceId("i"), "7", 0.9)
-    >>> times.learn(route, InstanceId("i"), "7", 0.3)
-    >>> times.expected_s(route, InstanceId("i"), "7")
-    0.3
-    >>> times.expected_s(route, InstanceId("j"), "7")
-    0.9
+    The first run for a key at an instance is kept apart from later ones; for a
+    route and instances ``i`` and ``j`` of its service:
+
+    >>> times = RunTimes()
+    >>> times.learn(route, i, "7", 0.9)
+    >>> times.learn(route, i, "7", 0.3)
+    >>> times.expected_s(route, i, "7"), times.expected_s(route, j, "7")
+    (0.3, 0.9)
     """
 
     def __init__(self) -> None:
