Read the slowdown in load reports and let reports fade with the runs of an instance

Cause: services of further add a fourth figure to Server-Load, so every report there was dropped and entries placed blind. With the report read, half of the requests for the short-run service still waited until the limit of 180 ms: a report kept its weight for 1.2 s although the runs that it counted had ended after 0.1 s.

Change: the fourth figure is a slowdown with a half-life of 0.25 s, by which a key's second instance is preferred; further figures are ignored, malformed reports are counted and logged once. A report's half-life is twice the mean response time of its instance, from 0.1 to 1.2 s.

--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -46,6 +46,13 @@
 FAILOVER_LATENCY_RATIO = 2.5
 """Factor by which a key's first instance must be slower to use the second one."""
 
+DISTURBANCE_RATIO = 1.5
+"""Factor by which a run at the first instance must be expected to take longer.
+
+It is smaller than ``FAILOVER_LATENCY_RATIO``, because a reported slowdown is known at
+once, whereas latencies of single requests differ for many reasons.
+"""
+
 
 class NoCapacity(Exception):
     """No instance had a free slot in time; the request was not sent."""
@@ -285,7 +292,7 @@
         it is the least loaded of the nearest instances.
         """
         if request.key is not None and request.route.sticky:
-            return self.choose_by_latency(free_instances)
+            return self.choose_by_latency(request, free_instances, now)
         min_distance = self.placement.distance(free_instances[0])
         nearest = [
             instance
@@ -294,21 +301,39 @@
         ]
         return min(nearest, key=lambda instance: self.utilization(instance, now))
 
-    def choose_by_latency(self, free_instances: list[FleetInstance]) -> FleetInstance:
-        """Return the first instance unless it is much slower than the second."""
+    def choose_by_latency(
+        self, request: PendingRequest, free_instances: list[FleetInstance], now: float
+    ) -> FleetInstance:
+        """Return the first instance unless it is much slower than the second.
+
+        It is slower when its latest responses took longer, or when its machine is
+        disturbed at the moment and the run would end earlier at the second one.
+        """
         first_instance = free_instances[0]
         if len(free_instances) == 1:
             return first_instance
+        second_instance = free_instances[1]
         first_latency_s = self.loads.get(first_instance).mean_latency_s
-        second_latency_s = self.loads.get(free_instances[1]).mean_latency_s
+        second_latency_s = self.loads.get(second_instance).mean_latency_s
         if (
             first_latency_s is not None
             and second_latency_s is not None
             and first_latency_s > FAILOVER_LATENCY_RATIO * second_latency_s
         ):
-            return free_instances[1]
+            return second_instance
+        first_run_s = self.expected_run_s(request, first_instance, now)
+        second_run_s = self.expected_run_s(request, second_instance, now)
+        if first_run_s > DISTURBANCE_RATIO * second_run_s > 0:
+            return second_instance
         return first_instance
 
+    def expected_run_s(
+        self, request: PendingRequest, instance: FleetInstance, now: float
+    ) -> float:
+        """Return the expected run time with the present slowdown, 0 when unknown."""
+        slowdown = self.loads.get(instance).estimate_slowdown(now)
+        return slowdown * self.expected_s(request, instance)
+
     def utilization(self, instance: FleetInstance, now: float) -> float:
         """Return the estimated requests at an instance per slot; may exceed 1."""
         load = self.loads.get(instance)
--- a/src/masticdeck/coordination/instance_load.py
+++ b/src/masticdeck/coordination/instance_load.py
@@ -18,8 +18,24 @@
 from masticdeck.protocol.dialect import InstanceUse
 from masticdeck.state.fleet import FleetInstance
 
-REPORT_HALF_LIFE_S = 1.2
-"""Time in which a report loses half of its weight: a long service time."""
+MAX_REPORT_HALF_LIFE_S = 1.2
+"""Longest time in which a report loses half of its weight."""
+
+MIN_REPORT_HALF_LIFE_S = 0.1
+"""Shortest time in which a report loses half of its weight: a few round trips."""
+
+REPORT_HALF_LIFE_RUNS = 2.0
+"""Half-life of a report in multiples of the mean response time of its instance.
+
+The requests of a report have ended after about one run time, so an instance with
+short runs that was full must not count as full for much longer.
+"""
+
+SLOWDOWN_HALF_LIFE_S = 0.25
+"""Time in which a reported slowdown loses half of its weight.
+
+Interference on a shared machine lasts for some tenths of a second.
+"""
 
 UNREPORTED_SLOT_FRACTION = 0.5
 """Fraction of an instance's slots that an entry uses before the first report."""
@@ -50,6 +66,9 @@
     ``last_response_at`` is the boot time of the latest response of any kind.
     ``cold_tokens`` is the number of requests that this entry may send to the
     instance while it is cold, as of boot time ``cold_refilled_at``.
+    ``has_sent_invalid_report`` states that a report could not be read, and
+    ``reported_slowdown`` is the factor by which work took longer than usual on the
+    instance's machine at the last report.
     """
 
     slots: int
@@ -57,18 +76,35 @@
     other_requests: int = 0
     mean_other_requests: float = 0.0
     reported_at: float = float("-inf")
+    reported_slowdown: float = 1.0
+    has_sent_invalid_report: bool = False
     mean_latency_s: float | None = None
     last_response_at: float = float("-inf")
     cold_tokens: float = COLD_BURST_REQUESTS
     cold_refilled_at: float = 0.0
 
+    @property
+    def report_half_life_s(self) -> float:
+        """Return the time in which a report loses half of its weight, in seconds."""
+        if self.mean_latency_s is None:
+            return MAX_REPORT_HALF_LIFE_S
+        return min(
+            MAX_REPORT_HALF_LIFE_S,
+            max(MIN_REPORT_HALF_LIFE_S, REPORT_HALF_LIFE_RUNS * self.mean_latency_s),
+        )
+
+    def estimate_slowdown(self, now: float) -> float:
+        """Return the factor by which work is expected to take longer than usual."""
+        weight = math.exp2((self.reported_at - now) / SLOWDOWN_HALF_LIFE_S)
+        return 1.0 + weight * (self.reported_slowdown - 1.0)
+
     def estimate_requests(self, now: float) -> float:
         """Return the estimated number of requests at the instance.
 
         For the requests of other entries, the weight of the last report halves
-        every ``REPORT_HALF_LIFE_S``; the rest is the average of all reports.
+        every ``report_half_life_s``; the rest is the average of all reports.
         """
-        weight = math.exp2((self.reported_at - now) / REPORT_HALF_LIFE_S)
+        weight = math.exp2((self.reported_at - now) / self.report_half_life_s)
         deviation = self.other_requests - self.mean_other_requests
         return self.own_requests + self.mean_other_requests + weight * deviation
 
@@ -83,7 +119,7 @@
             return self.own_requests < max(
                 1, int(self.slots * UNREPORTED_SLOT_FRACTION)
             )
-        is_outdated = now - self.reported_at > REPORT_HALF_LIFE_S
+        is_outdated = now - self.reported_at > self.report_half_life_s
         return (is_outdated and self.own_requests == 0) or self.estimate_requests(
             now
         ) < self.slots - 0.5
@@ -127,6 +163,7 @@
         load.mean_other_requests = moving_average(
             load.mean_other_requests, load.other_requests
         )
+        load.reported_slowdown = use.slowdown
         load.reported_at = now
 
     def record_rejection(self, load: InstanceLoad, now: float) -> None:
@@ -134,6 +171,7 @@
         load.other_requests = max(
             load.other_requests, SHED_REQUESTS_PER_SLOT * load.slots
         )
+        load.reported_slowdown = load.estimate_slowdown(now)
         load.reported_at = now
 
     def record_end(self, load: InstanceLoad) -> None:
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -274,6 +274,8 @@
             self.record_run_time(now - self.started_at)
         if response_headers.use is not None:
             loads.record_report(self.instance_load, response_headers.use, now)
+        elif response_headers.has_invalid_use:
+            self.forwarder.record_invalid_report(self.instance, self.instance_load)
         if response_headers.idle_s is not None:
             connection.idle_limit_s = response_headers.idle_s
         if response_headers.closes:
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -11,7 +11,7 @@
 from masticdeck.coordination.dispatch import Dispatcher, PendingRequest
 from masticdeck.coordination.feed import RecordReplica
 from masticdeck.coordination.health import Health
-from masticdeck.coordination.instance_load import InstanceLoads
+from masticdeck.coordination.instance_load import InstanceLoad, InstanceLoads
 from masticdeck.coordination.retries import SharedRetryBudget
 from masticdeck.coordination.run_times import RunTimes
 from masticdeck.coordination.split import TrafficSplit
@@ -203,6 +203,17 @@
                 seconds=round(ejection.duration_s, 3),
             )
 
+    def record_invalid_report(
+        self, instance: FleetInstance, instance_load: InstanceLoad
+    ) -> None:
+        """Count an unreadable load report; log the first one of an incarnation."""
+        self.metrics.count("invalid_load_reports")
+        if not instance_load.has_sent_invalid_report:
+            instance_load.has_sent_invalid_report = True
+            self.events.emit(
+                Code.LOAD_REPORT_INVALID, level=logging.WARNING, instance=instance.id
+            )
+
     def remove_instance(self, instance: FleetInstance) -> None:
         """Discard the state and connections of an instance's former incarnation."""
         self.instance_loads.remove(instance.id)
--- a/src/masticdeck/platform/headers.py
+++ b/src/masticdeck/platform/headers.py
@@ -25,6 +25,11 @@
 
 MAX_REMAINING_MS = 600_000
 MISDIRECTED = 421
+
+MIN_USE_FIGURES = 3
+MAX_USE_FIGURES = 4
+MAX_FIGURE_DIGITS = 9
+
 SET_HERE = frozenset(
     {REMAINING_MS, EXPECTED_INSTANCE, b"content-length", b"expect", b"host"}
 )
@@ -66,12 +71,15 @@
         identity = find_header(headers, REQUEST_ID)
         connection = find_header(headers, b"connection") or b""
         misdirected = status == MISDIRECTED
+        use_header = find_header(headers, USE)
+        use = None if use_header is None else parse_use(use_header)
         return AnswerMarks(
             request_id=None if identity is None else identity.decode("latin-1"),
             not_run=misdirected or find_header(headers, NOT_RUN) is not None,
             misdirected=misdirected,
             signed=find_header(headers, SIGNATURE) is not None,
-            use=parse_use(find_header(headers, USE)),
+            use=use,
+            has_invalid_use=use_header is not None and use is None,
             idle_s=parse_idle(find_header(headers, b"keep-alive")),
             closes=b"close" in connection.lower(),
         )
@@ -98,17 +106,33 @@
     return min(int(value), MAX_REMAINING_MS) / 1000
 
 
-def parse_use(value: bytes | None) -> InstanceUse | None:
-    """Return what an instance says of its load, None when that is unreadable.
+def parse_use(value: bytes) -> InstanceUse | None:
+    """Return what an instance says of its load, None when that cannot be read.
+
+    The optional fourth figure is how long work takes on the instance's machine, in
+    percent of the usual time. Figures that follow it are ignored.
 
     >>> parse_use(b"3,0,8")
-    InstanceUse(running=3, waiting=0, slots=8)
+    InstanceUse(running=3, waiting=0, slots=8, slowdown=1.0)
+    >>> parse_use(b"3,0,8,250")
+    InstanceUse(running=3, waiting=0, slots=8, slowdown=2.5)
     """
-    parts = (value or b"").split(b",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    figures = [parse_figure(part) for part in value.split(b",")[:MAX_USE_FIGURES]]
+    if len(figures) < MIN_USE_FIGURES or None in figures:
+        return None
+    running, waiting, slots, *percents = (figure or 0 for figure in figures)
+    if not slots:
+        return None
+    slowdown = percents[0] / 100 if percents and percents[0] else 1.0
+    return InstanceUse(running, waiting, slots, slowdown)
+
+
+def parse_figure(value: bytes) -> int | None:
+    """Return a whole number of at most ``MAX_FIGURE_DIGITS`` digits, else None."""
+    figure = value.strip()
+    if not figure.isdigit() or len(figure) > MAX_FIGURE_DIGITS:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return InstanceUse(running, waiting, slots)
+    return int(figure)
 
 
 def parse_idle(value: bytes | None) -> float | None:
--- a/src/masticdeck/protocol/dialect.py
+++ b/src/masticdeck/protocol/dialect.py
@@ -41,11 +41,16 @@
 @final
 @dataclass(frozen=True, slots=True)
 class InstanceUse:
-    """Requests running and waiting at an instance, of all entries together."""
+    """Requests running and waiting at an instance, of all entries together.
+
+    ``slowdown`` is the factor by which work takes longer than usual on the
+    instance's machine at the moment, 1 when the instance does not say.
+    """
 
     running: int
     waiting: int
     slots: int
+    slowdown: float = 1.0
 
 
 @final
@@ -54,8 +59,10 @@
     """What an instance says of its answer beside status and body.
 
     ``not_run`` is true only when the instance vouches that it did not run the
-    request; ``misdirected`` when another instance has the address. ``idle_s``
-    is how long it keeps the connection open, None when it does not say.
+    request; ``misdirected`` when another instance has the address. ``use`` is its
+    load report, None without one; ``has_invalid_use`` states that there is one that
+    cannot be read. ``idle_s`` is how long it keeps the connection open, None when it
+    does not say.
     """
 
     request_id: str | None
@@ -65,6 +72,7 @@
     use: InstanceUse | None
     idle_s: float | None
     closes: bool
+    has_invalid_use: bool = False
 
 
 class Dialect(Protocol):
--- a/testing/coordination/load_simulation.py
+++ b/testing/coordination/load_simulation.py
@@ -38,6 +38,13 @@
 CACHED_OBJECTS = 21
 MAX_WAIT_FRACTION = 0.6
 
+SLOWDOWN = 2.5
+"""Factor by which work takes longer while the machine of an instance is disturbed."""
+
+MEAN_CALM_S = 4.0
+MEAN_DISTURBED_S = 0.5
+"""Mean duration of the times without and with a slowdown, in seconds."""
+
 
 class VirtualSelector(selectors.SelectSelector):
     """Advances the clock instead of waiting when nothing is ready."""
@@ -66,11 +73,33 @@
         return self.virtual_selector.now
 
 
+@dataclass
+class Interference:
+    """Slows down the machine of an instance at random times.
+
+    ``changes_at`` is the virtual time at which the current state ends.
+    """
+
+    random: random.Random
+    is_disturbed: bool = False
+    changes_at: float = 0.0
+
+    def slowdown(self, now: float) -> float:
+        """Return the factor by which work takes longer than usual."""
+        while self.changes_at <= now:
+            self.is_disturbed = not self.is_disturbed and self.changes_at > 0
+            mean_s = MEAN_DISTURBED_S if self.is_disturbed else MEAN_CALM_S
+            self.changes_at += self.random.expovariate(1 / mean_s)
+        return SLOWDOWN if self.is_disturbed else 1.0
+
+
 @dataclass
 class SimulatedInstance:
     """Simulates an instance with slots, a bounded queue and an object cache."""
 
     instance: FleetInstance
+    interference: Interference | None = None
+    reports_slowdown: bool = True
     running: int = 0
     waiting: int = 0
     cache: OrderedDict[str, None] = field(default_factory=OrderedDict)
@@ -78,7 +107,18 @@
 
     def use(self) -> InstanceUse:
         """Return the load that the instance reports."""
-        return InstanceUse(self.running, self.waiting, self.instance.slots)
+        return InstanceUse(
+            self.running,
+            self.waiting,
+            self.instance.slots,
+            self.slowdown() if self.reports_slowdown else 1.0,
+        )
+
+    def slowdown(self) -> float:
+        """Return the factor by which work takes longer than usual now."""
+        if self.interference is None:
+            return 1.0
+        return self.interference.slowdown(asyncio.get_running_loop().time())
 
     async def run(self, key: str, work_s: float) -> bool:
         """Run a request; return False when it was shed.
@@ -95,9 +135,8 @@
             self.waiting -= 1
         self.running += 1
         try:
-            await asyncio.sleep(
-                work_s * (WARM_WORK_FRACTION if key in self.cache else 1.0)
-            )
+            cache_factor = WARM_WORK_FRACTION if key in self.cache else 1.0
+            await asyncio.sleep(work_s * cache_factor * self.slowdown())
             self.cache_object(key)
         finally:
             self.running -= 1
@@ -136,7 +175,15 @@
 class LoadSimulation:
     """Simulates nine entries, some instances, and callers of some routes."""
 
-    def __init__(self, seed: int, *, instances: int, slots: int) -> None:
+    def __init__(
+        self,
+        seed: int,
+        *,
+        instances: int,
+        slots: int,
+        interference: bool = False,
+        reports_slowdown: bool = True,
+    ) -> None:
         self.random = random.Random(seed)
         self.fleet = Fleet(dict(REGION_OF))
         zones = list(REGION_OF)
@@ -147,7 +194,11 @@
             )
             self.fleet.put_instance(fleet_instance)
             self.simulated_instances[fleet_instance.id] = SimulatedInstance(
-                fleet_instance
+                fleet_instance,
+                Interference(random.Random(f"{seed}/{number}"))
+                if interference
+                else None,
+                reports_slowdown=reports_slowdown,
             )
         self.entries = [
             Dispatcher(
@@ -229,6 +280,7 @@
                 )
             dispatcher.loads.record_report(load, simulated.use(), loop.time())
             if was_run:
+                dispatcher.loads.record_latency(load, loop.time() - started_at)
                 dispatcher.run_times.record_run(*run_key, loop.time() - started_at)
             return was_run
         except TimeoutError:
--- a/testing/coordination/test_dispatch.py
+++ b/testing/coordination/test_dispatch.py
@@ -69,12 +69,14 @@
     )
 
 
-def record_report(dispatcher: Dispatcher, name: str, running: int) -> None:
+def record_report(
+    dispatcher: Dispatcher, name: str, running: int, *, slowdown: float = 1.0
+) -> None:
     """Record a load report of an instance."""
     instance = dispatcher.fleet.instances[InstanceId(name)]
     load = dispatcher.loads.get(instance)
     dispatcher.loads.record_report(
-        load, InstanceUse(running, 0, instance.slots), boottime()
+        load, InstanceUse(running, 0, instance.slots, slowdown), boottime()
     )
 
 
@@ -308,6 +310,29 @@
     assert await acquire(dispatcher, build_request(key="7")) == second.id
 
 
+async def test_key_moves_away_from_a_disturbed_machine(dispatcher):
+    dispatcher.fleet.put_instance(build_instance("two", "a2", slots=SLOTS))
+    first, second = dispatcher.candidates(build_request(key="7"))
+    for instance in (first, second):
+        for duration_s in (0.3, 0.1):
+            dispatcher.run_times.record_run(build_route(), instance.id, "7", duration_s)
+    record_report(dispatcher, second.id, 0)
+    record_report(dispatcher, first.id, 0, slowdown=2.5)
+    assert await acquire(dispatcher, build_request(key="7")) == second.id
+
+
+async def test_key_stays_on_a_disturbed_machine_if_a_first_run_elsewhere_is_longer(
+    dispatcher,
+):
+    dispatcher.fleet.put_instance(build_instance("two", "a2", slots=SLOTS))
+    first, second = dispatcher.candidates(build_request(key="7"))
+    dispatcher.run_times.record_run(build_route(), first.id, "7", 0.3)
+    dispatcher.run_times.record_run(build_route(), first.id, "7", 0.1)
+    record_report(dispatcher, second.id, 0)
+    record_report(dispatcher, first.id, 0, slowdown=2.5)
+    assert await acquire(dispatcher, build_request(key="7")) == first.id
+
+
 async def test_full_instance_gets_requests_only_while_its_queue_is_short(dispatcher):
     await fill(dispatcher)
     queued = [dispatcher.try_acquire_queued(build_request()) for _ in range(SLOTS + 1)]
--- a/testing/coordination/test_load_simulation.py
+++ b/testing/coordination/test_load_simulation.py
@@ -7,7 +7,7 @@
 
 import pytest
 
-from masticdeck.coordination import dispatch, placement
+from masticdeck.coordination import dispatch, instance_load, placement
 from masticdeck.state.routes import RouteId
 from testing.coordination.load_simulation import (
     LoadSimulation,
@@ -122,6 +122,48 @@
     assert without_new_keys.in_objective > with_new_keys.in_objective
 
 
+def simulate_short_runs(
+    seed: int, monkeypatch, *, reports_slowdown: bool = True
+) -> OutcomeCounts:
+    """Simulate a service of short runs on machines that are disturbed at times."""
+    results: list[OutcomeCounts] = []
+
+    async def body() -> None:
+        simulation = LoadSimulation(
+            seed,
+            instances=12,
+            slots=3,
+            interference=True,
+            reports_slowdown=reports_slowdown,
+        )
+        route = replace(build_route(), objective_s=0.3, timeout_s=1.0)
+        await simulation.offer(route, per_s=280, work_s=0.2, keys=152, duration_s=12)
+        results.append(simulation.counts_by_priority[route.priority])
+
+    run_in_virtual_time(body, monkeypatch)
+    return results[0]
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_short_runs_meet_the_objective_more_often_when_reports_fade_with_them(
+    seed, monkeypatch
+):
+    fading = simulate_short_runs(seed, monkeypatch)
+    monkeypatch.setattr(instance_load, "REPORT_HALF_LIFE_RUNS", float("inf"))
+    lasting = simulate_short_runs(seed, monkeypatch)
+    assert fading.fraction_in_objective > lasting.fraction_in_objective
+
+
+def test_reported_slowdowns_let_more_requests_meet_the_objective(monkeypatch):
+    reported = [simulate_short_runs(seed, monkeypatch) for seed in SEEDS]
+    unreported = [
+        simulate_short_runs(seed, monkeypatch, reports_slowdown=False) for seed in SEEDS
+    ]
+    assert sum(counts.in_objective for counts in reported) > sum(
+        counts.in_objective for counts in unreported
+    )
+
+
 def test_simulation_is_reproducible(monkeypatch):
     first = simulate_one_route(1, monkeypatch)
     assert first == simulate_one_route(1, monkeypatch)
--- a/testing/gateway/test_forward.py
+++ b/testing/gateway/test_forward.py
@@ -397,3 +397,20 @@
         response = await world.send("/u/a", method="POST", body=b"x" * 900)
         assert response.status == 200
     assert world.gateway.caller_server.body_bytes == 0
+
+
+async def test_unreadable_load_report_is_logged_once_and_costs_no_request(world):
+    async def act(instance, request, writer):
+        head = instance.head(request, 200, 0).replace(
+            b"Server-Load: ", b"Server-Load:x"
+        )
+        writer.write(head)
+
+    set_all_actions(world, act)
+    for _ in range(3):
+        assert (await world.send("/u/a", method="POST")).status == 200
+    events = [event.code for event in world.events.ring]
+    reporting = {
+        instance.id for instance in world.instances.values() if instance.requests
+    }
+    assert events.count(Code.LOAD_REPORT_INVALID) == len(reporting)
