Trust a refusal of an instance only with the id of the request

Cause: on a kept connection a faulty instance may write an earlier refusal once more. Without an id, or as a 421 without one, it was taken for the answer of the next request: the caller was told that its request did not run, or it was sent to a second instance, while the first one ran it (REFUSED, TWICE). Ruled out: copies with another id, which were dropped already; copies between exchanges, which close the connection.

Change: a refusal without the id of this request is dropped like any other stray response, and the entry waits for the real one. The body of a refusal is read for 50 ms at most, because one without end held the request until its deadline.

Measured: test_stray_responses.py failed on 12 cases of refusals without id and on a refusal with an endless body before, and passes.

--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -36,6 +36,10 @@
 """
 
 
+DISCARD_TIMEOUT_S = 0.05
+"""Longest wait for the rest of a refusal, whose head has said all that matters."""
+
+
 class AttemptStatus(Enum):
     """How an attempt at one instance ended."""
 
@@ -225,9 +229,17 @@
         )
 
     def matches_request(self, status: int, headers: Headers) -> bool:
-        """Return whether a response is not one to another request."""
+        """Return whether a response may be the one to this request.
+
+        A faulty instance may repeat an earlier response on a kept connection. A
+        refusal must therefore have the id of this request; without it, it does not
+        prove that this request did not run.
+        """
+        own_id = self.exchange.request_headers.id
         response_headers = self.forwarder.dialect.read_answer(status, headers)
-        return response_headers.request_id in (None, self.exchange.request_headers.id)
+        if response_headers.request_id is None:
+            return not own_id or not response_headers.not_run
+        return response_headers.request_id == own_id
 
     async def wait_for_head(self, connection: InstanceConnection) -> AnswerHead:
         """Wait for the response head, or raise InstanceSilent.
@@ -357,6 +369,20 @@
 
 
 async def discard_body(connection: InstanceConnection) -> None:
-    """Read a body to its end and discard it."""
-    while await connection.read_chunk():
+    """Read a body to its end and discard it.
+
+    The connection is not used again if the body is long, breaks off or does not end
+    within ``DISCARD_TIMEOUT_S``.
+    """
+    size_bytes = 0
+    try:
+        async with asyncio.timeout(DISCARD_TIMEOUT_S):
+            while chunk := await connection.read_chunk():
+                size_bytes += len(chunk)
+                if size_bytes > MAX_BUFFERED_BYTES:
+                    break
+            else:
+                return
+    except (TimeoutError, ExchangeBroken):
         pass
+    connection.reusable = False
