Keep answers to other requests from callers of the entry program

Cause: an instance may send an answer, or an earlier refusal, once more on a kept connection. masticdeck-entry took bytes that had arrived on an idle connection for the next answer, and an answer or a refusal without the id of the request for the answer to this one. Ruled out: heads without end, which the library bounds already; the tests show it.

Change: a pooled connection on which bytes arrived is closed before its use; an answer with another id, and a refusal without one, breaks the exchange (MD3002).

Measured: five of the cases of test_backend.py failed before and all pass.

--- a/bench/standins/backend.py
+++ b/bench/standins/backend.py
@@ -97,7 +97,11 @@
                 self.over_slots += 1
             return web.Response(
                 status=503,
-                headers={"Masticdeck-Outcome": "not-run", "Retry-After": "1"},
+                headers={
+                    **repeat_request_id(request),
+                    "Masticdeck-Outcome": "not-run",
+                    "Retry-After": "1",
+                },
             )
         self.in_flight += 1
         self.most_in_flight = max(self.most_in_flight, self.in_flight)
@@ -137,7 +141,9 @@
         self, request: web.BaseRequest, body: bytes, began: float
     ) -> web.StreamResponse:
         """Return the answer to a request that ran."""
-        fields = {"Masticdeck-Draining": "1"} if self.faults.get("draining") else {}
+        fields = repeat_request_id(request)
+        if self.faults.get("draining"):
+            fields["Masticdeck-Draining"] = "1"
         if request.path.startswith("/bytes/"):
             return await self.stream(request, fields)
         document = {
@@ -218,6 +224,12 @@
         return {**counts, "keys": len(self.runs_by_key), "ran_twice": twice}
 
 
+def repeat_request_id(request: web.BaseRequest) -> dict[str, str]:
+    """Return the header by which an entry knows the answer to its request."""
+    request_id = request.headers.get("Masticdeck-Request")
+    return {} if request_id is None else {"Masticdeck-Request": request_id}
+
+
 async def listen(instance: Instance) -> web.ServerRunner:
     """Serve one instance."""
     server = web.Server(instance.handle, access_log=None, handler_cancellation=True)
--- a/src/masticdeck/protocol/backend.py
+++ b/src/masticdeck/protocol/backend.py
@@ -21,6 +21,7 @@
     ClientTimeout,
     TCPConnector,
 )
+from aiohttp.connector import Connection
 from multidict import CIMultiDict
 from yarl import URL
 
@@ -153,12 +154,29 @@
             session=session,
             loop=asyncio.get_running_loop(),
         )
+        request_id = fields.get(headers.REQUEST_ID)
         answer = await exchange(request, connector, instance_id)
+        if not is_own_answer(answer, request_id):
+            answer.close()
+            raise BackendBroken(f"{instance_id}: an answer to another request")
         if headers.DRAINING in answer.headers and self.see_draining is not None:
             self.see_draining(instance_id)
         return answer
 
 
+def is_own_answer(answer: ClientResponse, request_id: str | None) -> bool:
+    """Return whether an answer may be the one to the request with this id.
+
+    A faulty instance may send an earlier answer once more. One that repeats the id of
+    a request answers only that request, and a refusal has to repeat it: without the id
+    it does not prove that this request did not run.
+    """
+    echoed_id = answer.headers.get(headers.REQUEST_ID)
+    if echoed_id is None:
+        return answer.headers.get(headers.OUTCOME) != Outcome.NOT_RUN.value
+    return echoed_id == request_id
+
+
 def create_connector(part: int) -> TCPConnector:
     """Return a pool of at most ``part`` connections to each instance.
 
@@ -170,12 +188,28 @@
     return TCPConnector(limit=0, limit_per_host=part, keepalive_timeout=KEEP_ALIVE_S)
 
 
+async def take_connection(
+    request: ClientRequest, connector: TCPConnector
+) -> Connection:
+    """Return a pooled or a new connection on which no bytes have arrived.
+
+    Bytes that arrived on an idle connection belong to no request. The library would
+    return them as the answer to the next one.
+    """
+    while True:
+        connection = await connector.connect(request, [], CONNECT_TIMEOUT)
+        protocol = connection.protocol
+        if protocol is None or not protocol.should_close:
+            return connection
+        connection.close()
+
+
 async def exchange(
     request: ClientRequest, connector: TCPConnector, instance: InstanceId
 ) -> ClientResponse:
     """Send a request over a pooled connection and return the answer's head."""
     try:
-        connection = await connector.connect(request, [], CONNECT_TIMEOUT)
+        connection = await take_connection(request, connector)
     except ClientConnectorError as error:
         raise BackendNotReached(f"{instance}: {error.os_error}") from error
     except (ClientError, OSError) as error:
--- /dev/null
+++ b/testing/protocol/test_backend.py
@@ -0,0 +1,155 @@
+"""Answers of a backend server that belong to another request."""
+
+from __future__ import annotations
+
+import asyncio
+from types import SimpleNamespace
+
+import pytest
+from multidict import CIMultiDict
+
+from masticdeck.clock import boottime
+from masticdeck.ids import InstanceId, Rank, RequestId, ServiceId
+from masticdeck.protocol.backend import BackendBroken, Backends
+from masticdeck.protocol.call import Call
+from masticdeck.protocol.headers import REQUEST_ID
+
+INSTANCE = InstanceId("one")
+REFUSAL = "HTTP/1.1 503 Busy\r\nMasticdeck-Outcome: not-run\r\nContent-Length: 0\r\n"
+
+
+def render_answer(path: str, request_id: str | None = None) -> bytes:
+    """Return an answer whose body is the path of its request."""
+    echo = "" if request_id is None else f"{REQUEST_ID}: {request_id}\r\n"
+    head = f"HTTP/1.1 200 OK\r\n{echo}Content-Length: {len(path)}\r\n\r\n"
+    return (head + path).encode()
+
+
+class RawBackend:
+    """A backend server that sends the bytes that ``act`` writes for each request."""
+
+    def __init__(self) -> None:
+        self.act = None
+        self.connections = 0
+
+    async def serve(self, reader, writer) -> None:
+        """Read requests without a body until the connection ends."""
+        self.connections += 1
+        try:
+            while True:
+                head = (await reader.readuntil(b"\r\n\r\n")).decode()
+                path = head.split(" ")[1]
+                fields = dict(
+                    line.split(": ", 1) for line in head.split("\r\n")[1:] if line
+                )
+                await self.act(path, fields[REQUEST_ID], writer)
+                await writer.drain()
+        except (asyncio.IncompleteReadError, ConnectionError):
+            pass
+        finally:
+            writer.close()
+
+
+@pytest.fixture
+async def raw_backend():
+    return RawBackend()
+
+
+@pytest.fixture
+async def backends(raw_backend):
+    server = await asyncio.start_server(raw_backend.serve, "127.0.0.1", 0)
+    port = server.sockets[0].getsockname()[1]
+    instance = SimpleNamespace(
+        id=INSTANCE, host="127.0.0.1", port=port, connections=100
+    )
+    backends = Backends(SimpleNamespace(instances=[instance], entries=["entry-1"]))
+    await backends.start()
+    yield backends
+    await backends.stop()
+    server.close()
+
+
+async def ask(backends: Backends, path: str) -> str:
+    """Send a request and return the body of its answer."""
+    call = Call(
+        id=RequestId(f"id-{path}"),
+        service=ServiceId("s"),
+        method="GET",
+        path=path,
+        rank=Rank.MIDDLE,
+        deadline=boottime() + 5,
+    )
+    fields = CIMultiDict({REQUEST_ID: call.id})
+    answer = await backends.send(INSTANCE, call, fields, None)
+    return await answer.text()
+
+
+@pytest.mark.parametrize("echoes", [True, False], ids=["with id", "without id"])
+async def test_late_copy_on_an_idle_connection_is_not_the_next_answer(
+    raw_backend, backends, echoes
+):
+    async def answer_twice(path, request_id, writer):
+        answer = render_answer(path, request_id if echoes else None)
+        writer.write(answer)
+        await writer.drain()
+        await asyncio.sleep(0.02)
+        writer.write(answer)
+
+    raw_backend.act = answer_twice
+    for path in ("/1", "/2", "/3"):
+        assert await ask(backends, path) == path
+        await asyncio.sleep(0.05)
+    assert raw_backend.connections == 3
+
+
+async def test_answer_with_the_id_of_another_request_is_not_passed_on(
+    raw_backend, backends
+):
+    async def answer_an_earlier_request(path, request_id, writer):
+        writer.write(render_answer("/0", "id-/0") + render_answer(path, request_id))
+
+    raw_backend.act = answer_an_earlier_request
+    with pytest.raises(BackendBroken):
+        await ask(backends, "/1")
+
+
+@pytest.mark.parametrize(
+    "echo", ["", f"{REQUEST_ID}: id-/0\r\n"], ids=["no id", "earlier id"]
+)
+async def test_refusal_without_the_id_of_the_request_proves_nothing(
+    raw_backend, backends, echo
+):
+    async def repeat_a_refusal(path, request_id, writer):
+        writer.write(f"{REFUSAL}{echo}\r\n".encode())
+        await asyncio.sleep(0.05)
+        writer.write(render_answer(path, request_id))
+
+    raw_backend.act = repeat_a_refusal
+    with pytest.raises(BackendBroken):
+        await ask(backends, "/1")
+
+
+async def test_refusal_with_the_id_of_the_request_is_returned(raw_backend, backends):
+    async def refuse(path, request_id, writer):
+        writer.write(f"{REFUSAL}{REQUEST_ID}: {request_id}\r\n\r\n".encode())
+
+    raw_backend.act = refuse
+    assert await ask(backends, "/1") == ""
+
+
+@pytest.mark.parametrize(
+    "start",
+    [b"HTTP/1.1 200 ", b"HTTP/1.1 200 OK\r\nA: "],
+    ids=["status line", "header"],
+)
+async def test_head_without_end_breaks_the_exchange(raw_backend, backends, start):
+    async def send_without_end(path, request_id, writer):
+        writer.write(start)
+        while True:
+            writer.write(b"x" * 4096)
+            await writer.drain()
+
+    raw_backend.act = send_without_end
+    with pytest.raises(BackendBroken):
+        async with asyncio.timeout(2):
+            await ask(backends, "/1")
