Keep removed records removed after a restart, and background tasks running

Further, a well-formed answer of the store with a missing or malformed field raised KeyError or TypeError: it ended the registration for the rest of the process, so that callers were never directed to the entry again. Ruled out: the same in the feed of the store, which retries after any error.

Change: a replica ignores changes up to its own revision. The client of the store raises StoreAnswerInvalid for every answer that it cannot decode. A background task that fails is logged (component_failed) and started again after a second; the registration is such a task; a failed recheck of waiting requests no longer prevents the next one.

--- a/src/masticdeck/application.py
+++ b/src/masticdeck/application.py
@@ -11,6 +11,9 @@
 
 COMPONENT_STOP_S = 5.0
 
+RESTART_DELAY_S = 1.0
+"""Seconds from the failure of a background task to its next start."""
+
 
 class Component(Protocol):
     """A part of a process with a beginning and an end."""
@@ -83,19 +86,39 @@
 
 
 class BackgroundTask:
-    """A component that is one task; a subclass says in ``run`` what it does."""
+    """A component that is one task; a subclass says in ``run`` what it does.
+
+    An unexpected error must not end its work for the rest of the process: it is
+    logged, and ``run`` is called again after ``RESTART_DELAY_S``.
+    """
 
-    def __init__(self) -> None:
+    def __init__(self, events: EventLog) -> None:
+        self.events = events
         self.task: asyncio.Task[None] | None = None
 
     async def start(self) -> None:
         """Begin the task; does not wait for anything that it does."""
-        self.task = asyncio.create_task(self.run())
+        self.task = asyncio.create_task(self.run_supervised())
 
     async def stop(self) -> None:
         """Cancel the task."""
         if self.task is not None:
             self.task.cancel()
+            self.task = None
+
+    async def run_supervised(self) -> None:
+        """Call ``run`` until it returns or is cancelled."""
+        while True:
+            try:
+                return await self.run()
+            except Exception as error:
+                self.events.emit(
+                    Code.COMPONENT_FAILED,
+                    level=logging.ERROR,
+                    component=type(self).__name__,
+                    error=repr(error),
+                )
+            await asyncio.sleep(RESTART_DELAY_S)
 
     async def run(self) -> None:
         """Work until the task is cancelled."""
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -261,10 +261,12 @@
 
     async def recheck_periodically(self) -> None:
         """Serve the queues at intervals, as load reports become outdated."""
-        while any(self.queues.values()):
-            await asyncio.sleep(RECHECK_INTERVAL_S)
-            self.serve_queues()
-        self.recheck_task = None
+        try:
+            while any(self.queues.values()):
+                await asyncio.sleep(RECHECK_INTERVAL_S)
+                self.serve_queues()
+        finally:
+            self.recheck_task = None
 
     def try_acquire(self, request: PendingRequest) -> FleetInstance | None:
         """Acquire a slot of the best instance that has a free one, or return None."""
--- a/src/masticdeck/coordination/entry_registration.py
+++ b/src/masticdeck/coordination/entry_registration.py
@@ -12,6 +12,7 @@
 import random
 from collections.abc import Callable
 
+from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
 from masticdeck.coordination.fleet_view import ENTRY_PREFIX, encode_entry
 from masticdeck.errors import MasticdeckError, StoreConflict
@@ -35,7 +36,7 @@
 """Maximum delay between retries, which doubles with each failure."""
 
 
-class EntryRegistration:
+class EntryRegistration(BackgroundTask):
     """Keeps this entry registered while it accepts requests."""
 
     def __init__(
@@ -46,17 +47,12 @@
         *,
         is_listed: Callable[[], bool] = lambda: True,
     ) -> None:
+        super().__init__(events)
         self.is_listed = is_listed
         self.store = store
         self.entry = entry
-        self.events = events
         self.lease: LeaseId | None = None
         self.retry_s = INITIAL_RETRY_S
-        self.task: asyncio.Task[None] | None = None
-
-    async def start(self) -> None:
-        """Start registering in the background."""
-        self.task = asyncio.create_task(self.run())
 
     async def stop(self) -> None:
         """Remove the registration if it still exists."""
@@ -64,9 +60,7 @@
 
     async def unregister(self) -> None:
         """Remove the registration; if the store fails, the lease expires instead."""
-        if self.task is not None:
-            self.task.cancel()
-            self.task = None
+        await super().stop()
         lease, self.lease = self.lease, None
         if lease is None:
             return
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -161,9 +161,16 @@
         self.recent_changes_after = self.revision
 
     def apply_changes(self, changes: Iterable[Change], revision: Revision) -> None:
-        """Apply the changes up to ``revision``."""
+        """Apply the changes up to ``revision``.
+
+        The replica includes all changes up to its own revision. A source that is
+        behind replays some of them, and a record that has been removed since would
+        be in use again.
+        """
+        known_revision = self.revision
         for change in changes:
-            self.apply_change(change)
+            if change.revision > known_revision:
+                self.apply_change(change)
         self.advance_to(revision)
 
     def apply_change(self, change: Change) -> None:
@@ -237,10 +244,9 @@
         *,
         should_follow: Callable[[], bool] = lambda: True,
     ) -> None:
-        super().__init__()
+        super().__init__(events)
         self.store = store
         self.replica = replica
-        self.events = events
         self.should_follow = should_follow
         self.has_listing = False
         self.is_failing = False
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -139,11 +139,10 @@
         *,
         seed: int | None = None,
     ) -> None:
-        super().__init__()
+        super().__init__(events)
         self.replica = replica
         self.store_feed = store_feed
         self.watchers = watchers
-        self.events = events
         self.random = random.Random(seed)
         self.last_source: EntryId | None = None
         self.zone_failed_at: dict[ZoneId, float] = {}
--- a/src/masticdeck/coordination/round_trips.py
+++ b/src/masticdeck/coordination/round_trips.py
@@ -32,10 +32,9 @@
     """
 
     def __init__(self, fleet: Fleet, placement: Placement, events: EventLog) -> None:
-        super().__init__()
+        super().__init__(events)
         self.fleet = fleet
         self.placement = placement
-        self.events = events
 
     async def run(self) -> None:
         """Measure the round trip to a random entry of another region at intervals."""
--- a/src/masticdeck/gateway/reloader.py
+++ b/src/masticdeck/gateway/reloader.py
@@ -26,11 +26,10 @@
         apply_settings: Callable[[GatewaySettings], None],
         events: EventLog,
     ) -> None:
-        super().__init__()
+        super().__init__(events)
         self.path = path
         self.load_settings = load_settings
         self.apply_settings = apply_settings
-        self.events = events
         self.loaded_file_version = self.read_file_version()
 
     async def run(self) -> None:
--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -4,7 +4,8 @@
 
 import base64
 import json
-from collections.abc import Mapping
+from collections.abc import Iterator, Mapping
+from contextlib import contextmanager
 from typing import Any
 
 from aiohttp import ClientError, ClientSession, ClientTimeout, TCPConnector
@@ -78,8 +79,9 @@
         query = {"prefix": prefix}
         while True:
             fields = self.expect(await self.call("GET", "kv-range", query=query))
-            page = [decode_item(item) for item in fields["items"]]
-            first = first or Revision(int(fields["at"]))
+            with invalid_answers():
+                page = [decode_item(item) for item in fields["items"]]
+                first = first or decode_revision(fields["at"])
             items += page
             if not fields.get("has_more") or not page:
                 return Listing(tuple(items), first)
@@ -101,7 +103,8 @@
         if lease is not None:
             row["lease"] = int(lease)
         answer = await self.commit(key, expect, {"puts": [row], "deletes": []})
-        return Revision(int(answer["revision"]))
+        with invalid_answers():
+            return decode_revision(answer["revision"])
 
     async def delete(self, key: str, *, expect: Revision | None = None) -> None:
         """Delete a key."""
@@ -119,7 +122,8 @@
         """Create a lease."""
         body = {"ttl_time": format_duration(ttl_s)}
         fields = self.expect(await self.call("POST", "kv-lease", body=body))
-        return LeaseId(str(fields["lease"]))
+        with invalid_answers():
+            return LeaseId(str(int(fields["lease"])))
 
     async def renew_lease(self, lease: LeaseId) -> None:
         """Extend a lease."""
@@ -138,8 +142,9 @@
         }
         answer = await self.call("GET", "kv-watch", query=query, wait_s=wait_s)
         fields = self.expect(answer)
-        changes = tuple(decode_change(event) for event in fields["events"])
-        return Changes(changes, Revision(int(fields["at"])))
+        with invalid_answers():
+            changes = tuple(decode_change(event) for event in fields["events"])
+            return Changes(changes, decode_revision(fields["at"]))
 
     def expect(self, answer: tuple[int, dict[str, Any]]) -> dict[str, Any]:
         """Return the fields of a successful answer."""
@@ -187,6 +192,22 @@
         return StoreUnavailable(detail)
 
 
+@contextmanager
+def invalid_answers() -> Iterator[None]:
+    """Raise StoreAnswerInvalid for any answer that cannot be decoded."""
+    try:
+        yield
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise StoreAnswerInvalid(f"{type(error).__name__}: {error}"[:200]) from None
+
+
+def decode_revision(value: object) -> Revision:
+    """Return a revision, or raise TypeError."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not a whole number")
+    return Revision(value)
+
+
 def decode_fields(status: int, content: bytes) -> dict[str, Any]:
     """Return the fields of an answer, or raise for one that says nothing."""
     if status == 429 or status >= 500:
@@ -205,6 +226,6 @@
 def decode_change(event: Mapping[str, Any]) -> Change:
     """Return a change of an answer, or raise StoreAnswerInvalid."""
     if event.get("tombstone"):
-        return Change(str(event["key"]), None, Revision(int(event["revision"])))
+        return Change(str(event["key"]), None, decode_revision(event["revision"]))
     item = decode_item(event)
     return Change(item.key, item.value, item.revision)
--- a/testing/coordination/test_entry_registration.py
+++ b/testing/coordination/test_entry_registration.py
@@ -7,11 +7,12 @@
 
 import pytest
 
+from masticdeck import application
 from masticdeck.clock import HybridClock
 from masticdeck.coordination import entry_registration as entry_registration_module
 from masticdeck.coordination.entry_registration import EntryRegistration
 from masticdeck.coordination.fleet_view import ENTRY_PREFIX, decode_entry
-from masticdeck.events import EventLog
+from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, ZoneId
 from masticdeck.metrics import Metrics
 from masticdeck.platform.store import PlatformStore
@@ -77,6 +78,43 @@
     await wait_for(lambda: KEY in standin.items)
 
 
+@pytest.mark.parametrize("answer", [b"{}", b"[]", b"x"])
+async def test_entry_registers_again_after_malformed_answers_of_the_store(
+    standin, registration, monkeypatch, answer
+):
+    monkeypatch.setattr(entry_registration_module, "INITIAL_RETRY_S", 0.05)
+    await wait_for(lambda: KEY in standin.items)
+    standin.fixed_answers["kv-lease"] = answer
+    standin.end_lease(next(iter(standin.leases)))
+    await asyncio.sleep(0.2)
+    standin.fixed_answers.clear()
+    await wait_for(lambda: KEY in standin.items)
+
+
+async def test_unexpected_error_does_not_end_the_registration(
+    standin, registration, monkeypatch
+):
+    monkeypatch.setattr(application, "RESTART_DELAY_S", 0.05)
+    await wait_for(lambda: KEY in standin.items)
+
+    async def fail(lease):
+        raise RuntimeError("unexpected")
+
+    with monkeypatch.context() as broken:
+        broken.setattr(registration.store, "renew_lease", fail)
+        await asyncio.sleep(0.2)
+    for lease in list(standin.leases):
+        standin.end_lease(lease)
+    await wait_for(lambda: KEY in standin.items)
+    failures = [
+        event
+        for event in registration.events.ring
+        if event.code is Code.COMPONENT_FAILED
+    ]
+    assert failures
+    assert "unexpected" in failures[0].fields["error"]
+
+
 async def test_unregistering_removes_the_record(standin, registration):
     await wait_for(lambda: KEY in standin.items)
     await registration.unregister()
--- a/testing/coordination/test_feed.py
+++ b/testing/coordination/test_feed.py
@@ -91,3 +91,26 @@
     monkeypatch.setattr(feed, "boottime", lambda: later)
     replica.apply_changes([REMOVAL], Revision(2))
     assert recorder.maybe_expired_flags == [False]
+
+
+def test_change_that_a_listing_already_includes_does_not_bring_a_record_back():
+    """Guards against a restarted entry that follows a source behind its listing.
+
+    The source replays the record of an instance that had left when the entry read
+    the store; the change that removes it follows later, or never.
+    """
+    values = []
+
+    class Listener:
+        def record_changed(self, key, value, *, maybe_expired) -> None:
+            values.append((key, value))
+
+    replica = RecordReplica(Listener())
+    replica.replace([KeyValue("kept", b"1", Revision(3))], Revision(10))
+    update = FeedUpdate(
+        False, (Change("left", b"old", Revision(7)),), Revision(7), age_s=0.1
+    )
+    replica.apply_update(update, boottime())
+    assert values == [("kept", b"1")]
+    assert "left" not in replica.records
+    assert replica.revision == 10
--- a/testing/platform/standin_store.py
+++ b/testing/platform/standin_store.py
@@ -2,7 +2,8 @@
 
 Faults are switched on by attributes: ``refuse_with`` answers every call with a
 status, ``lose_answers`` acts and then breaks the connection, ``delay_s`` makes
-answers slow, ``silent`` never answers, ``compact`` drops the history.
+answers slow, ``silent`` never answers, ``fixed_answers`` has the bytes that answer
+a call, or every call under ``*``, ``compact`` drops the history.
 """
 
 from __future__ import annotations
@@ -42,6 +43,7 @@
         self.lease_ids = itertools.count(7000)
         self.calls: list[str] = []
         self.refuse_with: int | None = None
+        self.fixed_answers: dict[str, bytes] = {}
         self.lose_answers = False
         self.silent = False
         self.delay_s = 0.0
@@ -118,6 +120,9 @@
         self.calls.append(request.path.removeprefix("/-/").partition("/")[0])
         if self.refuse_with is not None:
             return web.Response(status=self.refuse_with)
+        answer = self.fixed_answers.get(self.calls[-1], self.fixed_answers.get("*"))
+        if answer is not None:
+            return web.Response(body=answer, content_type="application/json")
         if self.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -134,3 +134,32 @@
     standin.items["a"] = {"key": "a", "revision": 1}
     with pytest.raises(StoreAnswerInvalid):
         await store.get("a")
+
+
+MALFORMED_ANSWERS = [
+    b"",
+    b"[]",
+    b"{}",
+    b"null",
+    b'{"revision": "x", "lease": null, "items": 7, "at": 1, "events": [], "at": []}',
+    b'{"revision": null, "items": [7], "at": 1, "events": [7]}',
+    b'{"items": [{"key": "a", "value": "%", "revision": 1}], "at": {}, "events": {}}',
+]
+
+
+@pytest.mark.parametrize("answer", MALFORMED_ANSWERS)
+@pytest.mark.parametrize(
+    "call",
+    [
+        lambda store: store.get("a"),
+        lambda store: store.list(""),
+        lambda store: store.put("a", b"1"),
+        lambda store: store.grant_lease(5),
+        lambda store: store.watch("", 1, wait_s=0.1),
+    ],
+    ids=["get", "list", "put", "grant lease", "watch"],
+)
+async def test_malformed_answer_is_invalid(store, standin, call, answer):
+    standin.fixed_answers["*"] = answer
+    with pytest.raises(StoreAnswerInvalid):
+        await call(store)
