Count the time of a pause against the deadline of a request

Cause, found by reading for the operators' reports: bytes that arrive while the process is paused wait in the kernel, and the request counted from the moment at which they were read. So it kept a time to its deadline that its caller no longer had. And after a pause between the choice of an instance and the write, the request was sent with a deadline of 1 ms, although the caller had left. Ruled out: the timeout of the attempt, which cannot end it there, because no other callback runs in between.

Change: if the last check of the callers' server is more than a second old, a request counts from that check. A request whose deadline has passed is not sent; the caller gets 503, which is true. The timeout of a head still counts from its first byte.

--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -23,6 +23,9 @@
 if TYPE_CHECKING:
     from masticdeck.gateway.exchange import Exchange
 
+MIN_SEND_TIME_S = 0.01
+"""Shortest time to the deadline with which a request is still sent."""
+
 MAX_BUFFERED_BYTES = 65_536
 """Largest response that is buffered completely before it is sent to the caller.
 
@@ -35,7 +38,6 @@
 Two round trips between distant regions.
 """
 
-
 DISCARD_TIMEOUT_S = 0.05
 """Longest wait for the rest of a refusal, whose head has said all that matters."""
 
@@ -47,6 +49,7 @@
     SHED = "shed"
     MISDIRECTED = "misdirected"
     UNREACHABLE = "unreachable"
+    EXPIRED = "expired before it was sent"
     STALE = "stale connection"
     SILENT = "silent"
     BROKEN = "broken"
@@ -61,7 +64,12 @@
 
 
 NOT_RUN_STATUSES = frozenset(
-    {AttemptStatus.SHED, AttemptStatus.MISDIRECTED, AttemptStatus.UNREACHABLE}
+    {
+        AttemptStatus.SHED,
+        AttemptStatus.MISDIRECTED,
+        AttemptStatus.UNREACHABLE,
+        AttemptStatus.EXPIRED,
+    }
 )
 
 UNDELIVERED_STATUSES = frozenset({AttemptStatus.UNREACHABLE, AttemptStatus.STALE})
@@ -74,6 +82,10 @@
 """Statuses after which the caller has its response or its connection was reset."""
 
 
+class DeadlinePassed(Exception):
+    """The deadline passed before the request was sent."""
+
+
 class InstanceSilent(Exception):
     """An instance sent no response within the silence timeout."""
 
@@ -90,6 +102,7 @@
 class Attempt:
     """Sends a request to one instance and returns its response to the caller.
 
+    ``is_sent`` is set once the instance may have received the request.
     ``failure_response`` holds a complete 5xx response that has not been sent to
     the caller, because another instance may be tried first.
     """
@@ -102,13 +115,9 @@
         self.instance_load = self.forwarder.instance_loads.get(instance)
         self.started_at = boottime()
         self.connection: InstanceConnection | None = None
+        self.is_sent = False
         self.failure_response: BufferedResponse | None = None
 
-    @property
-    def is_sent(self) -> bool:
-        """Whether the instance may have received the request."""
-        return self.connection is not None
-
     async def run(self) -> AttemptStatus:
         """Run the attempt and release its slot at the end."""
         status: AttemptStatus | None = None
@@ -129,6 +138,8 @@
                 self.exchange.deadline - self.started_at
             ) as timeout:
                 return await self.send_and_receive(timeout)
+        except DeadlinePassed as error:
+            return self.handle_failure(AttemptStatus.EXPIRED, error)
         except InstanceSilent as error:
             return self.handle_failure(AttemptStatus.SILENT, error)
         except TimeoutError as error:
@@ -214,10 +225,18 @@
         return connection if connection is not None else await pool.open(self.instance)
 
     def send_request(self, connection: InstanceConnection) -> None:
-        """Send the request with the remaining time and the instance's id."""
+        """Send the request with the remaining time and the instance's id.
+
+        Raises DeadlinePassed without sending it if the process was paused until the
+        deadline.
+        """
+        remaining_s = self.exchange.deadline - boottime()
+        if remaining_s < MIN_SEND_TIME_S:
+            raise DeadlinePassed(f"{-remaining_s:.3f} s ago")
+        self.is_sent = True
         headers = self.forwarder.dialect.forward_headers(
             self.request.headers,
-            remaining_s=self.exchange.deadline - boottime(),
+            remaining_s=remaining_s,
             instance=self.instance.id,
         )
         method = self.request.method
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -15,6 +15,7 @@
 from masticdeck.events import Code
 from masticdeck.gateway.attempt import (
     FINAL_STATUSES,
+    MIN_SEND_TIME_S,
     UNDELIVERED_STATUSES,
     Attempt,
     AttemptStatus,
@@ -28,9 +29,6 @@
 if TYPE_CHECKING:
     from masticdeck.gateway.forwarder import Forwarder
 
-MIN_SEND_TIME_S = 0.01
-"""Shortest time to the deadline with which a request is still sent."""
-
 DEFAULT_REMAINING_S = 10.0
 """Time to the deadline when the caller sends none."""
 
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -38,6 +38,9 @@
 TICK_S = 0.5
 """Seconds between checks of a connection's time limits."""
 
+MAX_TICK_DELAY_S = 2 * TICK_S
+"""Time since the last check after which the process is taken to have been paused."""
+
 CLOSING_IDLE_S = 1.0
 """Idle time after which a connection is closed while the server stops."""
 
@@ -51,7 +54,8 @@
     """A request read whole from a caller's connection.
 
     ``target`` is the path with its query, as sent. ``received_at`` is the boot
-    time in seconds at which its first byte arrived.
+    time in seconds at which its first byte arrived, or may have arrived if the
+    process was paused.
     """
 
     connection: CallerConnection
@@ -77,6 +81,7 @@
         self.transport: asyncio.Transport | None = None
         self.parser: Any = httptools.HttpRequestParser(self)
         self.reading: InboundRequest | None = None
+        self.reading_since = 0.0
         self.parts: list[bytes] = []
         self.body_bytes = 0
         self.held_bytes = 0
@@ -150,7 +155,8 @@
 
     def on_message_begin(self) -> None:
         """Start a request."""
-        self.reading = InboundRequest(self, received_at=boottime())
+        self.reading = InboundRequest(self, received_at=self.server.arrival_time())
+        self.reading_since = boottime()
         self.parts = []
         self.body_bytes = 0
         self.head_done = False
@@ -363,7 +369,7 @@
         request = self.reading
         if request is not None:
             if not self.head_done:
-                if now - request.received_at > self.limits.header_timeout_s:
+                if now - self.reading_since > self.limits.header_timeout_s:
                     self.reject(408)
             elif now - self.active_at > self.limits.idle_timeout_s:
                 self.reject(408)
@@ -393,6 +399,7 @@
         self.in_flight = 0
         self.body_bytes = 0
         self.closing = False
+        self.ticked_at = boottime()
         self.server: asyncio.Server | None = None
         self.ticker: asyncio.Task[None] | None = None
 
@@ -404,8 +411,19 @@
         )
         if self.port == 0:
             self.port = self.server.sockets[0].getsockname()[1]
+        self.ticked_at = boottime()
         self.ticker = asyncio.create_task(self.tick())
 
+    def arrival_time(self) -> float:
+        """Return the earliest boot time at which bytes read now can have arrived.
+
+        Bytes that arrive while the process is paused wait in the kernel. A caller's
+        remaining time counts from their arrival, and it may be over when the process
+        goes on.
+        """
+        now = boottime()
+        return self.ticked_at if now - self.ticked_at > MAX_TICK_DELAY_S else now
+
     async def stop(self) -> None:
         """Stop listening and close every connection."""
         self.stop_listening()
@@ -431,7 +449,7 @@
         """Apply the time limits."""
         while True:
             await asyncio.sleep(TICK_S)
-            now = boottime()
+            now = self.ticked_at = boottime()
             for connection in list(self.connections):
                 connection.check_time(now)
                 if self.closing and now - connection.active_at > CLOSING_IDLE_S:
--- a/testing/gateway/test_connections.py
+++ b/testing/gateway/test_connections.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import time
 
 import pytest
 
@@ -52,3 +53,27 @@
     assert (await world.send(target, method=method, body=b"x")).status == 200
     assert world.gateway.pool.opened - opened_before == opened
     assert len(received_requests(world)) == 2
+
+
+@pytest.mark.parametrize(
+    ("target", "method"), [("/s/a", "GET"), ("/u/a", "POST")], ids=["safe", "unsafe"]
+)
+async def test_request_whose_deadline_passed_in_a_pause_is_not_sent(
+    world, monkeypatch, target, method
+):
+    """Guards against a pause of the process after an instance was chosen.
+
+    The event loop cannot end the attempt before the request is written: no other
+    callback runs between the end of the pause and that step.
+    """
+    open_connection = world.gateway.pool.open
+
+    async def pause_after_opening(instance):
+        connection = await open_connection(instance)
+        time.sleep(0.5)  # noqa: ASYNC251
+        return connection
+
+    monkeypatch.setattr(world.gateway.pool, "open", pause_after_opening)
+    response = await world.send(target, method=method, body=b"x", remaining_ms=300)
+    assert response.status == 503
+    assert not received_requests(world)
