Direct the callers of a zone to the entries on its largest VMs

Cause: in a fleet of 79 to 195 entries each one gets a few requests a second. Most of them need a new connection to their instance, and load reports are outdated when the next decision depends on them. Small VMs on links of 5 to 10 Mbit/s got as many callers as large ones. Ruled out: a cost of the directory itself.

Change: the directory names the entries of a zone with the largest VMs, a third of the zone's capacity and four entries at least; equal ones are ordered by a hash, so that all entries name the same ones. A record of an entry states the size of its VM. Shares of common limits count the entries that are named.

--- a/src/masticdeck/coordination/fleet_view.py
+++ b/src/masticdeck/coordination/fleet_view.py
@@ -5,13 +5,21 @@
 import asyncio
 import json
 import logging
+import math
 from collections.abc import Callable
 
 from masticdeck.clock import boottime
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, InstanceId, ZoneId
 from masticdeck.protocol.records import RecordDecoder, RecordInvalid, RecordKind
-from masticdeck.state.fleet import Fleet, FleetEntry, FleetInstance, InstanceState
+from masticdeck.state.fleet import (
+    DEFAULT_CPU_CORES,
+    DEFAULT_LINK_MBPS,
+    Fleet,
+    FleetEntry,
+    FleetInstance,
+    InstanceState,
+)
 
 ENTRY_PREFIX = "masticdeck/entries/"
 
@@ -146,13 +154,12 @@
     def apply_entry(self, entry: EntryId, value: bytes | None) -> None:
         """Apply the record of another entry, or its removal."""
         if value is None:
-            if self.fleet.entries.pop(entry, None) is not None:
+            if self.fleet.remove_entry(entry) is not None:
                 self.events.emit(Code.ENTRY_GONE, entry=entry)
             return
         decoded = decode_entry(entry, value)
-        if entry not in self.fleet.entries:
+        if self.fleet.put_entry(decoded) is None:
             self.events.emit(Code.ENTRY_SEEN, entry=entry, zone=decoded.zone)
-        self.fleet.entries[entry] = decoded
 
 
 def encode_entry(entry: FleetEntry) -> bytes:
@@ -163,12 +170,17 @@
         "peer_host": entry.peer_host,
         "peer_port": entry.peer_port,
         "incarnation": entry.incarnation,
+        "cpu_cores": entry.cpu_cores,
+        "link_mbps": entry.link_mbps,
     }
     return json.dumps(fields).encode()
 
 
 def decode_entry(entry: EntryId, value: bytes) -> FleetEntry:
-    """Return an entry from its record, or raise RecordInvalid."""
+    """Return an entry from its record, or raise RecordInvalid.
+
+    An entry of an older version does not state the size of its VM.
+    """
     try:
         fields = json.loads(value)
         return FleetEntry(
@@ -178,6 +190,17 @@
             peer_host=str(fields["peer_host"]),
             peer_port=int(fields["peer_port"]),
             incarnation=int(fields["incarnation"]),
+            cpu_cores=decode_size(fields.get("cpu_cores", DEFAULT_CPU_CORES)),
+            link_mbps=decode_size(fields.get("link_mbps", DEFAULT_LINK_MBPS)),
         )
-    except (ValueError, TypeError, KeyError) as error:
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
         raise RecordInvalid(f"{type(error).__name__}: {error}") from None
+
+
+def decode_size(value: object) -> float:
+    """Return the size of a VM's processor or link, or raise ValueError."""
+    if isinstance(value, bool) or not isinstance(value, int | float):
+        raise TypeError(f"{value!r} is not a number")
+    if not 0 < value < math.inf:
+        raise ValueError(f"{value!r} is not a size")
+    return float(value)
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -97,6 +97,8 @@
             peer_host=settings.peer.host,
             peer_port=settings.peer.port,
             incarnation=time.time_ns(),
+            cpu_cores=settings.cpu_cores,
+            link_mbps=settings.link_mbps,
         )
         self.watcher_selector = WatcherSelector(self.fleet, self.own_entry)
         self.store_feed = StoreFeed(
@@ -183,8 +185,8 @@
         return application
 
     def count_entries(self) -> int:
-        """Return the number of entries that accept requests."""
-        return len(self.directory.serving_entries())
+        """Return the number of entries that callers are directed to."""
+        return self.directory.count_selected()
 
     def apply_settings(self, settings: GatewaySettings) -> None:
         """Apply changed settings; changed addresses need a restart."""
--- a/src/masticdeck/gateway/directory.py
+++ b/src/masticdeck/gateway/directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from masticdeck.coordination.caller_subset import capacity_rank, select_by_zone
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, RegionId, ZoneId
 from masticdeck.state.fleet import Fleet, FleetEntry
@@ -13,8 +14,8 @@
 class Directory:
     """Selects the entries that are nearest to a caller.
 
-    A caller gets the entries of its zone; if it has none, those of its region;
-    if that has none either, all entries.
+    A caller gets the selected entries of its zone; if it has none, those of its
+    region; if that has none either, those of all zones.
     """
 
     def __init__(self, fleet: Fleet, own_entry: FleetEntry, events: EventLog) -> None:
@@ -22,6 +23,8 @@
         self.events = events
         self.own_entry = own_entry
         self.leaving = False
+        self.selected_by_zone: dict[ZoneId, list[FleetEntry]] = {}
+        self.selected_for: tuple[int, bool] | None = None
 
     def serving_entries(self) -> dict[EntryId, FleetEntry]:
         """Return the entries that accept requests.
@@ -34,26 +37,46 @@
             entries[self.own_entry.id] = self.own_entry
         return entries
 
+    def selected_entries(self) -> dict[ZoneId, list[FleetEntry]]:
+        """Return the entries that callers are directed to, by zone."""
+        basis = (self.fleet.entries_epoch, self.leaving)
+        if self.selected_for != basis:
+            self.selected_by_zone = select_by_zone(self.serving_entries().values())
+            self.selected_for = basis
+        return self.selected_by_zone
+
+    def count_selected(self) -> int:
+        """Return the number of entries that callers are directed to.
+
+        This entry is counted although others may be selected: callers with an older
+        answer still use it.
+        """
+        own_zone = self.selected_entries().get(self.own_entry.zone, [])
+        is_selected = any(entry.id == self.own_entry.id for entry in own_zone)
+        return sum(map(len, self.selected_by_zone.values())) + (not is_selected)
+
     def resolve(self, zone: ZoneId, region: RegionId) -> list[str]:
         """Return the addresses of the entries nearest to a zone and region."""
-        entries = list(self.serving_entries().values())
-        nearest = [entry for entry in entries if entry.zone == zone]
-        if not nearest:
-            region_of = self.fleet.region_of
-            nearest = [
-                entry for entry in entries if region_of.get(entry.zone) == region
-            ]
-        selected = sorted(nearest or entries, key=lambda entry: entry.id)[
-            :MAX_ADDRESSES
+        selected_by_zone = self.selected_entries()
+        region_of = self.fleet.region_of
+        nearest = selected_by_zone.get(zone) or [
+            entry
+            for entry_zone, entries in selected_by_zone.items()
+            if region_of.get(entry_zone) == region
+            for entry in entries
+        ]
+        everywhere = [
+            entry for entries in selected_by_zone.values() for entry in entries
         ]
+        chosen = sorted(nearest or everywhere, key=capacity_rank)[:MAX_ADDRESSES]
         self.events.emit(
             Code.DIRECTORY_ANSWERED,
             zone=zone,
             region=region,
-            chosen=",".join(entry.id for entry in selected),
-            known=len(entries),
+            chosen=",".join(entry.id for entry in chosen),
+            known=len(self.fleet.entries),
         )
-        return [entry.caller_address for entry in selected]
+        return [entry.caller_address for entry in chosen]
 
     def is_ready(self) -> bool:
         """Return whether this entry has a configuration and is not leaving."""
--- a/src/masticdeck/gateway/settings.py
+++ b/src/masticdeck/gateway/settings.py
@@ -7,6 +7,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from masticdeck.ids import EntryId, RegionId, ZoneId
+from masticdeck.state.fleet import DEFAULT_CPU_CORES, DEFAULT_LINK_MBPS
 
 Port = Annotated[int, Field(gt=0, lt=65_536)]
 
@@ -30,6 +31,8 @@
     Times are in seconds. ``retry_ratio`` and ``retry_slack`` limit the retries
     of all entries together: in any window to ``retry_ratio`` times the requests
     plus ``retry_slack``. ``stop_grace_s`` is the time from SIGTERM to the kill.
+    ``cpu_cores`` and ``link_mbps`` state the size of this entry's VM: its processor
+    in whole cores and its bandwidth in Mbit/s.
     """
 
     model_config = ConfigDict(frozen=True, extra="forbid")
@@ -43,6 +46,8 @@
     peer: Address
     metrics: Address
     store: str
+    cpu_cores: Annotated[float, Field(gt=0)] = DEFAULT_CPU_CORES
+    link_mbps: Annotated[float, Field(gt=0)] = DEFAULT_LINK_MBPS
     stop_grace_s: Annotated[float, Field(gt=0)] = 6.0
     lookup_ttl_s: Annotated[float, Field(gt=0)] = 2.0
     retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
--- a/src/masticdeck/platform/settings.py
+++ b/src/masticdeck/platform/settings.py
@@ -64,10 +64,25 @@
         "peer": {"host": host, "port": first},
         "metrics": {"host": host, "port": first + METRICS_OFFSET},
         "store": fields["platform"]["address"],
+        **translate_size(fields.get("limits") or {}),
         **translate_bounds(bounds),
     }
 
 
+def translate_size(limits: dict[str, Any]) -> dict[str, Any]:
+    """Return the settings that the limits of the machine give.
+
+    ``cpu_share`` is the part of a core that the process gets, and ``cpu_cores`` the
+    speed of that core.
+    """
+    settings: dict[str, Any] = {}
+    if "cpu_share" in limits:
+        settings["cpu_cores"] = limits["cpu_share"] * limits.get("cpu_cores", 1)
+    if "link_speed_mbps" in limits:
+        settings["link_mbps"] = limits["link_speed_mbps"]
+    return settings
+
+
 def translate_bounds(bounds: dict[str, Any]) -> dict[str, Any]:
     """Return the settings that the bounds of the platform give."""
     settings: dict[str, Any] = {}
--- /dev/null
+++ b/testing/platform/test_settings.py
@@ -0,0 +1,63 @@
+"""Tests of the translation of the platform's settings file."""
+
+from __future__ import annotations
+
+import pytest
+
+from masticdeck.errors import SettingsInvalid
+from masticdeck.platform.settings import load_settings
+from masticdeck.state.fleet import DEFAULT_CPU_CORES, DEFAULT_LINK_MBPS
+
+SETTINGS = """
+node_name: one
+ip_address: 127.0.0.1
+zone: a1
+zones: {a1: a}
+listen_addresses:
+  frontend: "127.0.0.1:1"
+  ready: "127.0.0.1:2"
+  directory: "127.0.0.1:3"
+internal_ports: [7620, 7635]
+platform: {address: "127.0.0.1:4"}
+"""
+
+
+@pytest.fixture
+def load(tmp_path):
+    """Return a function that loads settings with some more lines."""
+
+    def load_with(more: str):
+        path = tmp_path / "local.yaml"
+        path.write_text(SETTINGS + more, encoding="utf-8")
+        return load_settings(path)
+
+    return load_with
+
+
+def test_size_of_the_vm_is_read_from_its_limits(load):
+    settings = load(
+        "limits: {cpu_share: 0.717, cpu_cores: 3, link_speed_mbps: 200.0, memory_mb: 1}"
+    )
+    assert settings.cpu_cores == pytest.approx(2.151)
+    assert settings.link_mbps == 200.0
+
+
+@pytest.mark.parametrize("more", ["", "limits: {}", "limits: null"])
+def test_size_of_the_vm_has_a_default(load, more):
+    settings = load(more)
+    assert settings.cpu_cores == DEFAULT_CPU_CORES
+    assert settings.link_mbps == DEFAULT_LINK_MBPS
+
+
+@pytest.mark.parametrize(
+    "more",
+    [
+        "limits: {cpu_share: 0}",
+        "limits: {cpu_share: much}",
+        "limits: {link_speed_mbps: -1}",
+        "limits: 7",
+    ],
+)
+def test_impossible_size_of_the_vm_is_refused(load, more):
+    with pytest.raises(SettingsInvalid):
+        load(more)
