Send records down a tree of entries, compressed, and only the newest of each

And most calls of the store are the pages that each entry reads when it starts.

Change: a zone without a watcher has a relay, and the others follow the watcher or relay of their zone; a follower reviews its source now and then. Large values are compressed once for all followers that read them. Of several values of a key only the newest is applied and sent on. A starting entry reads stale pages and applies the changes since then before any record is used.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -6,6 +6,8 @@
 
 SOURCE = "src/masticdeck"
 FORWARD = "testing/gateway/test_forward.py"
+STRAY = "testing/gateway/test_stray_responses.py"
+BACKEND = "testing/protocol/test_backend.py"
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
@@ -67,9 +69,105 @@
         promise="a caller gets the whole answer to its own request",
         mechanism="answers with another id are dropped",
         file=f"{SOURCE}/gateway/attempt.py",
-        old="response_headers.request_id in (None, self.exchange.request_headers.id)",
-        new="True",
-        test=f"{FORWARD}::test_response_to_another_request_is_not_returned",
+        old="        return response_headers.request_id == own_id",
+        new="        return True",
+        test=f"{STRAY}::test_stray_refusal_does_not_end_an_unsafe_request",
+    ),
+    Mutant(
+        promise="a non-idempotent request runs at most once",
+        mechanism="the time of a pause counts against the deadline",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="return self.ticked_at if now - self.ticked_at > MAX_TICK_DELAY_S else now",
+        new="return now",
+        test="testing/transport/test_http1_server.py"
+        "::test_request_that_arrived_during_a_pause_counts_as_that_old",
+    ),
+    Mutant(
+        promise="a non-idempotent request runs at most once",
+        mechanism="the deadline is checked when the request is sent",
+        file=f"{SOURCE}/gateway/attempt.py",
+        old="        if remaining_s < MIN_SEND_TIME_S:",
+        new="        if False:",
+        test="testing/gateway/test_connections.py"
+        "::test_request_whose_deadline_passed_in_a_pause_is_not_sent",
+    ),
+    Mutant(
+        promise="a refusal that says not run is true",
+        mechanism="a refusal counts only with the id of the request",
+        file=f"{SOURCE}/gateway/attempt.py",
+        old="            return not own_id or not response_headers.not_run",
+        new="            return True",
+        test=f"{STRAY}::test_stray_refusal_does_not_end_an_unsafe_request",
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="a connection with bytes that nobody asked for is closed",
+        file=f"{SOURCE}/protocol/backend.py",
+        old="        if protocol is None or not protocol.should_close:",
+        new="        if True:",
+        test=f"{BACKEND}::test_late_copy_on_an_idle_connection_is_not_the_next_answer",
+    ),
+    Mutant(
+        promise="a refusal that says not run is true",
+        mechanism="the entry program trusts a refusal only with the request's id",
+        file=f"{SOURCE}/protocol/backend.py",
+        old="return answer.headers.get(headers.OUTCOME) != Outcome.NOT_RUN.value",
+        new="return True",
+        test=f"{BACKEND}::test_refusal_without_the_id_of_the_request_proves_nothing",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="a reported slowdown of a machine is used",
+        file=f"{SOURCE}/coordination/instance_load.py",
+        old="        load.reported_slowdown = use.slowdown",
+        new="        load.reported_slowdown = 1.0",
+        test="testing/coordination/test_dispatch.py"
+        "::test_key_moves_away_from_a_disturbed_machine",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="requests that are late already get the last slots of their priority",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="        is_late = now + self.expected_run_s > self.soft_deadline",
+        new="        is_late = False",
+        test="testing/coordination/test_dispatch.py"
+        "::test_late_request_waits_behind_those_of_its_priority_that_are_in_time",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="the next request waits at the instance",
+        file=f"{SOURCE}/coordination/instance_load.py",
+        old="MAX_QUEUED_REQUESTS = 1",
+        new="MAX_QUEUED_REQUESTS = 0",
+        test="testing/coordination/test_load_simulation.py"
+        "::test_short_runs_meet_the_objective_more_often_with_the_next_one_at_the_instance",
+    ),
+    Mutant(
+        promise="entries act on one view of the fleet",
+        mechanism="callers of a zone are directed to a few of its entries",
+        file=f"{SOURCE}/coordination/caller_subset.py",
+        old="    ranked_entries = sorted(entries, key=capacity_rank)",
+        new="    return list(entries)\n    ranked_entries: list[FleetEntry] = []",
+        test="testing/gateway/test_directory.py"
+        "::test_all_entries_direct_callers_of_a_zone_to_the_same_few",
+    ),
+    Mutant(
+        promise="entries act on one view of the fleet",
+        mechanism="entries of a zone follow its relay",
+        file=f"{SOURCE}/coordination/watcher_selector.py",
+        old="            if entry_id == zone_source:",
+        new="            if False:",
+        test="testing/coordination/test_watcher_selector.py"
+        "::test_records_cross_to_a_zone_only_once",
+    ),
+    Mutant(
+        promise="an accepted configuration is in force everywhere within seconds",
+        mechanism="large records are sent compressed",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old="    compress = compress and len(value) >= MIN_COMPRESSED_BYTES",
+        new="    compress = False",
+        test="testing/coordination/test_feed_peers.py"
+        "::test_compressed_configuration_takes_a_tenth_of_the_bytes",
     ),
     Mutant(
         promise="a refusal that says not run is true",
@@ -119,8 +217,8 @@
         promise="a leaving backend server gets no new work",
         mechanism="the zone of a failed source is avoided",
         file=f"{SOURCE}/coordination/feed_peers.py",
-        old="return is_zone_avoided, source.id == self.last_source, source_class",
-        new="return False, source.id == self.last_source, source_class",
+        old="                self.is_zone_avoided(entries[source].zone, now),",
+        new="                False,",
         test="testing/coordination/test_feed_peers.py"
         "::test_source_outside_the_zone_of_a_failed_one_is_followed_next",
     ),
@@ -145,9 +243,9 @@
     Mutant(
         promise="an accepted configuration is in force everywhere within seconds",
         mechanism="a waiting request follows the fleet",
-        file=f"{SOURCE}/coordination/placement.py",
-        old="self.cached_epoch != self.fleet.epoch",
-        new="self.cached_epoch < 0",
+        file=f"{SOURCE}/coordination/instance_orders.py",
+        old="if epoch == self.epoch:",
+        new="if self.epoch is not None:",
         test="testing/coordination/test_placement.py"
         "::test_keys_move_out_of_an_evacuated_zone",
     ),
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -22,7 +22,7 @@
 from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Revision
-from masticdeck.protocol.store import Change, KeyValue, Store
+from masticdeck.protocol.store import Change, Changes, KeyValue, Listing, Store
 
 WATCH_WAIT_S = 1.2
 """Longest wait of a watch; keeps the age of the replica below two seconds."""
@@ -39,6 +39,9 @@
 STANDBY_CHECK_INTERVAL_S = 0.2
 """Seconds between checks whether an entry has to follow the store again."""
 
+MAX_REPLICA_AGE_S = 2.0
+"""Age of a replica above which another source is tried, including the store."""
+
 MIN_OUTAGE_S = 2.5
 """Time without contact to the store after which records may have expired."""
 
@@ -98,7 +101,11 @@
         self.waiters: set[asyncio.Future[None]] = set()
 
     async def wait_newer(self, revision: Revision, timeout_s: float) -> None:
-        """Wait until the replica is newer than ``revision``, or for ``timeout_s``."""
+        """Wait until the replica is newer than ``revision``, or for ``timeout_s``.
+
+        A confirmation that it is current ends the wait as well: passed on at once, it
+        keeps a replica several entries away from the store from looking outdated.
+        """
         if self.revision > revision:
             return
         waiter = asyncio.get_running_loop().create_future()
@@ -116,6 +123,10 @@
         if revision <= self.revision:
             return
         self.revision = revision
+        self.wake_waiters()
+
+    def wake_waiters(self) -> None:
+        """End the waits for news of the replica."""
         for waiter in self.waiters:
             if not waiter.done():
                 waiter.set_result(None)
@@ -143,6 +154,7 @@
             elif outage_ended_s < MIN_OUTAGE_S:
                 self.outage_ended_at = now - outage_ended_s
         self.confirmed_at = current_at
+        self.wake_waiters()
 
     def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
         """Replace all records by a full listing as of ``revision``."""
@@ -168,7 +180,7 @@
         be in use again.
         """
         known_revision = self.revision
-        for change in changes:
+        for change in newest_by_key(changes):
             if change.revision > known_revision:
                 self.apply_change(change)
         self.advance_to(revision)
@@ -208,7 +220,7 @@
             return FeedUpdate(
                 True, changes, self.revision, age_s, now - self.outage_ended_at
             )
-        newer_changes = tuple(
+        newer_changes = newest_by_key(
             change for change in self.recent_changes if change.revision > revision
         )
         return FeedUpdate(
@@ -233,6 +245,20 @@
             self.apply_changes(update.changes, update.revision)
 
 
+def newest_by_key(changes: Iterable[Change]) -> tuple[Change, ...]:
+    """Return the newest change of each key, in the order of their revisions.
+
+    A value that is already replaced need not be sent or decoded: configurations may
+    follow each other faster than a small VM decodes them.
+    """
+    newest: dict[str, Change] = {}
+    for change in changes:
+        known = newest.get(change.key)
+        if known is None or known.revision < change.revision:
+            newest[change.key] = change
+    return tuple(sorted(newest.values(), key=lambda change: change.revision))
+
+
 class StoreFeed(BackgroundTask):
     """Keeps a replica up to date from the store."""
 
@@ -275,23 +301,51 @@
                 self.retry_s = min(MAX_RETRY_S, 2 * self.retry_s)
 
     async def poll_once(self) -> None:
-        """Make one call of the store and apply its response."""
-        sent_at = boottime()
+        """Make one call of the store and apply its response, or load all records."""
         if not self.has_listing:
-            listing = await self.store.list("")
-            self.replica.confirm(sent_at, boottime())
-            self.replica.replace(listing.items, listing.revision)
-            self.has_listing = True
-            self.events.emit(
-                Code.FEED_LOADED, revision=listing.revision, records=len(listing.items)
-            )
+            await self.load()
             return
+        sent_at = boottime()
         changes = await self.store.watch("", self.replica.revision, wait_s=WATCH_WAIT_S)
         self.replica.confirm(
             max(sent_at, boottime() - MIN_WATCH_INTERVAL_S), boottime()
         )
         self.replica.apply_changes(changes.changes, changes.revision)
 
+    async def load(self) -> None:
+        """Replace the replica by the present records.
+
+        In a large fleet most calls of the store are the pages that each entry reads
+        when it starts. Stale pages cost a fraction of a current one; the changes since
+        then are applied first, so that no outdated record is ever used.
+        """
+        sent_at = boottime()
+        changes: Changes | None = None
+        if not self.replica.revision:
+            listing, changes = await self.read_stale()
+        if changes is None:
+            sent_at = boottime()
+            listing = await self.store.list("")
+        self.replica.confirm(sent_at, boottime())
+        if changes is not None:
+            self.replica.apply_changes(changes.changes, changes.revision)
+        self.replica.replace(listing.items, listing.revision)
+        self.has_listing = True
+        self.events.emit(
+            Code.FEED_LOADED,
+            revision=self.replica.revision,
+            records=len(self.replica.records),
+            is_stale=changes is not None,
+        )
+
+    async def read_stale(self) -> tuple[Listing, Changes | None]:
+        """Return a stale listing and the changes since then, None if they are lost."""
+        listing = await self.store.list("", allow_stale=True)
+        try:
+            return listing, await self.store.watch("", listing.revision, wait_s=0.0)
+        except StoreHistoryLost:
+            return listing, None
+
     def record_failure(self, error: Exception) -> None:
         """Record a failure; log only the first of consecutive ones."""
         self.replica.record_store_failure(boottime())
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -1,11 +1,13 @@
 """Replicates the platform's records between entries.
 
-Only ``WATCHERS_PER_REGION`` entries of a region, its watchers, follow the store;
-the others follow the replica of another entry, so that the load of the store does
-not grow with the fleet. An entry whose source fails chooses another one, outside
-the zone of the failed one if possible: a watcher of its region first, then a
-watcher of another region, then any entry. A watcher that the store rejects does
-the same.
+Only the watchers of a region follow the store; every other entry follows the replica
+of another one, which ``WatcherSelector`` selects. An entry whose source fails chooses
+another one, outside the zone of the failed one if possible: a watcher of its region
+first, then a watcher of another region, then any entry. A watcher that the store
+rejects does the same.
+
+A large record is sent compressed, because a configuration with many routes would
+otherwise occupy the link of a small VM for seconds.
 """
 
 from __future__ import annotations
@@ -14,31 +16,35 @@
 import logging
 import math
 import random
+import zlib
 from typing import TYPE_CHECKING
 
-import xxhash
 from grpclib.client import Channel
 
 from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
-from masticdeck.coordination.feed import FeedUpdate, RecordReplica, StoreFeed
+from masticdeck.coordination.feed import (
+    MAX_REPLICA_AGE_S,
+    FeedUpdate,
+    RecordReplica,
+    StoreFeed,
+)
+from masticdeck.coordination.watcher_selector import SourceClass, WatcherSelector
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import EntryId, RegionId, Revision, ZoneId
+from masticdeck.ids import EntryId, Revision, ZoneId
 from masticdeck.protocol.generated.feed_grpc import FeedBase, FeedStub
 from masticdeck.protocol.generated.feed_pb2 import (
     FeedPartMessage,
     FeedRecord,
     FeedRequest,
 )
+from masticdeck.protocol.records import RecordInvalid
 from masticdeck.protocol.store import Change
-from masticdeck.state.fleet import Fleet, FleetEntry
+from masticdeck.state.fleet import FleetEntry
 
 if TYPE_CHECKING:
     from grpclib.server import Stream
 
-WATCHERS_PER_REGION = 2
-"""Entries of a region that follow the store; one of them may fail."""
-
 FAILED_ZONE_AVOIDANCE_S = 5.0
 """Time for which sources in the zone of a failed source are avoided."""
 
@@ -51,68 +57,32 @@
 CHECK_INTERVAL_S = 0.2
 """Seconds between checks whether another entry has to be followed."""
 
-MAX_REPLICA_AGE_S = 2.0
-"""Age of a replica above which another source is tried, including the store."""
-
+REVIEW_INTERVAL_S = 3.0
+"""Mean time after which a follower looks for a better source than its present one.
 
-class WatcherSelector:
-    """Selects the watchers: the entries that follow the store themselves.
-
-    Every entry ranks the entries of a region by a hash, so that entries with the
-    same view select the same watchers without coordination.
-    """
-
-    def __init__(self, fleet: Fleet, own_entry: FleetEntry) -> None:
-        self.fleet = fleet
-        self.own_entry = own_entry
-
-    def in_own_region(self) -> list[EntryId]:
-        """Return the watchers of this entry's region, by rank."""
-        return self.in_region(self.fleet.region_of[self.own_entry.zone])
-
-    def in_region(self, region: RegionId) -> list[EntryId]:
-        """Return the watchers of a region, in different zones if possible."""
-        region_of = self.fleet.region_of
-        zone_of = {
-            entry.id: entry.zone
-            for entry in self.fleet.entries.values()
-            if region_of.get(entry.zone) == region
-        }
-        if region_of[self.own_entry.zone] == region:
-            zone_of[self.own_entry.id] = self.own_entry.zone
-        ranked_ids = sorted(
-            zone_of, key=lambda entry_id: xxhash.xxh64_intdigest(entry_id.encode())
-        )
-        first_ids = ranked_ids[:1]
-        in_other_zones = [
-            entry_id
-            for entry_id in ranked_ids
-            if zone_of[entry_id] != zone_of[ranked_ids[0]]
-        ]
-        return first_ids + (in_other_zones or ranked_ids[1:])[: WATCHERS_PER_REGION - 1]
+The time is randomized, so that followers do not change their source all at once.
+"""
 
-    def in_other_regions(self) -> set[EntryId]:
-        """Return the watchers of all other regions."""
-        own_region = self.fleet.region_of[self.own_entry.zone]
-        regions = set(self.fleet.region_of.values()) - {own_region}
-        return {entry_id for region in regions for entry_id in self.in_region(region)}
+MIN_COMPRESSED_BYTES = 2_048
+"""Size of a value from which it is sent compressed."""
 
-    def should_follow_store(self, replica: RecordReplica) -> bool:
-        """Return whether this entry has to follow the store.
+COMPRESSION_LEVEL = 1
+"""Level of zlib: the fastest one, which shrinks a configuration to a tenth."""
 
-        An entry with an outdated replica also does, because all its sources may be
-        cut off from the store.
-        """
-        if replica.age_s(boottime()) > MAX_REPLICA_AGE_S:
-            return True
-        return self.own_entry.id in self.in_own_region()
+MAX_RECORD_BYTES = 16_777_216
+"""Largest record that a follower decompresses."""
 
 
 class FeedService(FeedBase):
-    """Streams this entry's replica to its followers."""
+    """Streams this entry's replica to its followers.
+
+    Followers mostly lack the same changes, so these are encoded once for all.
+    """
 
     def __init__(self, replica: RecordReplica) -> None:
         self.replica = replica
+        self.encoded_for: tuple[Revision, Revision, bool] | None = None
+        self.encoded_records: list[FeedRecord] = []
 
     async def Follow(  # noqa: N802
         self, stream: Stream[FeedRequest, FeedPartMessage]
@@ -120,12 +90,26 @@
         """Send updates until the follower ends the stream."""
         request = await stream.recv_message()
         sent_revision = Revision(0 if request is None else request.revision)
+        compress = request is not None and request.accepts_compressed
         while True:
             update = self.replica.update_after(sent_revision, boottime())
-            await stream.send_message(encode_update(update))
+            records = self.encode_records(update, sent_revision, compress=compress)
+            await stream.send_message(encode_update(update, records))
             sent_revision = update.revision
             await self.replica.wait_newer(sent_revision, KEEPALIVE_INTERVAL_S)
 
+    def encode_records(
+        self, update: FeedUpdate, after: Revision, *, compress: bool
+    ) -> list[FeedRecord]:
+        """Return the encoded records of an update for a follower at ``after``."""
+        basis = (after, update.revision, compress)
+        if self.encoded_for != basis:
+            self.encoded_records = [
+                encode_record(change, compress=compress) for change in update.changes
+            ]
+            self.encoded_for = basis
+        return self.encoded_records
+
 
 class PeerFeed(BackgroundTask):
     """Follows the replica of another entry while this entry cannot use the store."""
@@ -144,7 +128,7 @@
         self.store_feed = store_feed
         self.watchers = watchers
         self.random = random.Random(seed)
-        self.last_source: EntryId | None = None
+        self.failed_source: EntryId | None = None
         self.zone_failed_at: dict[ZoneId, float] = {}
 
     async def run(self) -> None:
@@ -162,49 +146,51 @@
     def choose_source(self) -> FleetEntry | None:
         """Return a random source of the best rank, None without any.
 
-        Sources in a zone where one has just failed, and the last source, rank lower.
+        Sources in a zone where one has just failed, and the last source if it failed,
+        rank lower.
         """
-        sources = [
-            source
-            for source in self.watchers.fleet.entries.values()
-            if source.id != self.watchers.own_entry.id
-        ]
-        if not sources:
+        ranks = self.rank_sources()
+        if not ranks:
             return None
-        own_watchers = set(self.watchers.in_own_region())
-        other_watchers = self.watchers.in_other_regions()
-        ranks = {
-            source.id: self.rank(source, own_watchers, other_watchers)
-            for source in sources
-        }
         best_rank = min(ranks.values())
-        return self.random.choice(
-            [source for source in sources if ranks[source.id] == best_rank]
-        )
+        return self.watchers.fleet.entries[
+            self.random.choice(
+                [source for source, rank in ranks.items() if rank == best_rank]
+            )
+        ]
 
-    def rank(
-        self,
-        source: FleetEntry,
-        own_watchers: set[EntryId],
-        other_watchers: set[EntryId],
-    ) -> tuple[bool, bool, int]:
-        """Return the rank of a source; the lowest one is followed first."""
-        failed_at = self.zone_failed_at.get(source.zone, float("-inf"))
-        is_zone_avoided = boottime() - failed_at < FAILED_ZONE_AVOIDANCE_S
-        source_class = (
-            0 if source.id in own_watchers else 1 if source.id in other_watchers else 2
-        )
-        return is_zone_avoided, source.id == self.last_source, source_class
+    def rank_sources(self) -> dict[EntryId, tuple[bool, bool, SourceClass]]:
+        """Return the rank of each source; the lowest one is followed first."""
+        now = boottime()
+        entries = self.watchers.fleet.entries
+        return {
+            source: (
+                self.is_zone_avoided(entries[source].zone, now),
+                source == self.failed_source,
+                source_class,
+            )
+            for source, source_class in self.watchers.classify_sources().items()
+        }
+
+    def is_zone_avoided(self, zone: ZoneId, now: float) -> bool:
+        """Return whether a source in a zone has failed recently."""
+        failed_at = self.zone_failed_at.get(zone, float("-inf"))
+        return now - failed_at < FAILED_ZONE_AVOIDANCE_S
+
+    def has_better_source(self, source: EntryId) -> bool:
+        """Return whether another source ranks better than the present one."""
+        ranks = self.rank_sources()
+        return source not in ranks or min(ranks.values()) < ranks[source]
 
     async def follow(self, source: FleetEntry) -> None:
-        """Follow a source until it fails or is no longer needed."""
-        self.last_source = source.id
+        """Follow a source until it fails, is outranked or is no longer needed."""
         channel = Channel(source.peer_host, source.peer_port)
         self.events.emit(
             Code.FEED_FOLLOWING, source=source.id, revision=self.replica.revision
         )
+        is_outranked = False
         try:
-            await self.receive(channel)
+            is_outranked = await self.receive(channel, source)
         except Exception as error:
             # On any failure of a source, another one is tried.
             self.events.emit(
@@ -218,15 +204,21 @@
             )
         finally:
             channel.close()
-        if self.is_needed():
+        if self.is_needed() and not is_outranked:
             self.zone_failed_at[source.zone] = boottime()
+            self.failed_source = source.id
 
-    async def receive(self, channel: Channel) -> None:
-        """Apply the updates of one stream."""
+    async def receive(self, channel: Channel, source: FleetEntry) -> bool:
+        """Apply the updates of one stream; return whether a better source exists."""
+        review_at = boottime() + REVIEW_INTERVAL_S * self.random.uniform(0.5, 1.5)
+        is_outranked = False
         async with FeedStub(channel).Follow.open() as stream:
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 await stream.send_message(
-                    FeedRequest(revision=self.replica.revision), end=True
+                    FeedRequest(
+                        revision=self.replica.revision, accepts_compressed=True
+                    ),
+                    end=True,
                 )
             while self.is_needed():
                 async with asyncio.timeout(SILENCE_TIMEOUT_S):
@@ -237,21 +229,31 @@
                 self.replica.apply_update(update, boottime())
                 if update.age_s > MAX_REPLICA_AGE_S:
                     break
+                if boottime() >= review_at:
+                    review_at = boottime() + REVIEW_INTERVAL_S
+                    is_outranked = self.has_better_source(source.id)
+                    if is_outranked:
+                        break
             # Otherwise the context manager would wait for the sender to end the stream.
             await stream.cancel()
+        return is_outranked
+
+
+def encode_record(change: Change, *, compress: bool) -> FeedRecord:
+    """Return the message that holds a changed record."""
+    value = b"" if change.value is None else change.value
+    compress = compress and len(value) >= MIN_COMPRESSED_BYTES
+    return FeedRecord(
+        key=change.key,
+        value=zlib.compress(value, COMPRESSION_LEVEL) if compress else value,
+        revision=change.revision,
+        deleted=change.value is None,
+        compressed=compress,
+    )
 
 
-def encode_update(update: FeedUpdate) -> FeedPartMessage:
-    """Return the message that holds an update."""
-    records = [
-        FeedRecord(
-            key=change.key,
-            value=b"" if change.value is None else change.value,
-            revision=change.revision,
-            deleted=change.value is None,
-        )
-        for change in update.changes
-    ]
+def encode_update(update: FeedUpdate, records: list[FeedRecord]) -> FeedPartMessage:
+    """Return the message that holds an update with its encoded records."""
     return FeedPartMessage(
         whole=update.is_snapshot,
         records=records,
@@ -266,19 +268,31 @@
     return 0 if ended_s == math.inf else max(1, round(min(ended_s, 1e6) * 1000))
 
 
+def decode_record(record: FeedRecord) -> Change:
+    """Return the change that a message holds, or raise RecordInvalid."""
+    value = None if record.deleted else record.value
+    if value is not None and record.compressed:
+        value = decompress(value)
+    return Change(record.key, value, Revision(record.revision))
+
+
+def decompress(data: bytes) -> bytes:
+    """Return decompressed data of a bounded size, or raise RecordInvalid."""
+    decompressor = zlib.decompressobj()
+    try:
+        value = decompressor.decompress(data, MAX_RECORD_BYTES)
+    except zlib.error as error:
+        raise RecordInvalid(f"compressed value: {error}") from None
+    if not decompressor.eof:
+        raise RecordInvalid("the compressed value is too large or cut short")
+    return value
+
+
 def decode_update(message: FeedPartMessage) -> FeedUpdate:
-    """Return the update that a message holds."""
-    changes = tuple(
-        Change(
-            record.key,
-            None if record.deleted else record.value,
-            Revision(record.revision),
-        )
-        for record in message.records
-    )
+    """Return the update that a message holds, or raise RecordInvalid."""
     return FeedUpdate(
         message.whole,
-        changes,
+        tuple(decode_record(record) for record in message.records),
         Revision(message.revision),
         message.age_ms / 1000,
         message.outage_ended_ms / 1000 or math.inf,
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -14,7 +14,7 @@
 from masticdeck.coordination.dispatch import Dispatcher
 from masticdeck.coordination.entry_registration import EntryRegistration
 from masticdeck.coordination.feed import RecordReplica, StoreFeed
-from masticdeck.coordination.feed_peers import FeedService, PeerFeed, WatcherSelector
+from masticdeck.coordination.feed_peers import FeedService, PeerFeed
 from masticdeck.coordination.fleet_view import FleetView
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.instance_load import InstanceLoads
@@ -22,6 +22,7 @@
 from masticdeck.coordination.retries import SharedRetryBudget
 from masticdeck.coordination.round_trips import RoundTripMeter
 from masticdeck.coordination.run_times import RunTimes
+from masticdeck.coordination.watcher_selector import WatcherSelector
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.directory import Directory
 from masticdeck.gateway.forwarder import Forwarder
--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -68,23 +68,24 @@
         status, fields = await self.call("GET", "kv-key", query={"key": key})
         return None if status == 404 else decode_item(fields)
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         """Return every key below a prefix.
 
-        The pages are read one after the other; the listing's revision is that
-        of the first one, so that a watch from there misses nothing.
+        The pages are read one after the other, and stale ones may be of different
+        age; the listing's revision is the lowest of theirs, so that a watch from
+        there misses nothing.
         """
         items: list[KeyValue] = []
-        first = Revision(0)
-        query = {"prefix": prefix}
+        revisions: list[Revision] = []
+        query = {"prefix": prefix, **({"stale_ok": "1"} if allow_stale else {})}
         while True:
             fields = self.expect(await self.call("GET", "kv-range", query=query))
             with invalid_answers():
                 page = [decode_item(item) for item in fields["items"]]
-                first = first or decode_revision(fields["at"])
+                revisions.append(decode_revision(fields["at"]))
             items += page
             if not fields.get("has_more") or not page:
-                return Listing(tuple(items), first)
+                return Listing(tuple(items), min(revisions))
             query["after"] = page[-1].key
 
     async def put(
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -79,8 +79,12 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return the key's value, or None when it is absent."""
 
-    async def list(self, prefix: str) -> Listing:
-        """Return every key below a prefix."""
+    async def list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
+        """Return every key below a prefix.
+
+        With ``allow_stale`` the listing may be some seconds old, which makes it
+        cheaper; a watch from its revision brings it up to date.
+        """
 
     async def put(
         self,
@@ -165,7 +169,7 @@
         answer = await self.call("get", {"key": key})
         return decode_item(answer["item"]) if answer.get("item") else None
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         """Return every key below a prefix."""
         answer = await self.call("list", {"prefix": prefix})
         items = tuple(decode_item(item) for item in answer["items"])
--- a/testing/coordination/helpers.py
+++ b/testing/coordination/helpers.py
@@ -73,7 +73,7 @@
         self.check_available()
         return self.items[key][0] if key in self.items else None
 
-    async def list(self, prefix: str) -> Listing:
+    async def list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         self.check_available()
         matching = [
             item for key, (item, _) in self.items.items() if key.startswith(prefix)
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import math
+import zlib
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
 
@@ -12,10 +13,16 @@
 from masticdeck.clock import HybridClock, boottime
 from masticdeck.coordination import feed_peers
 from masticdeck.coordination.feed import FeedUpdate, RecordReplica, StoreFeed
-from masticdeck.coordination.feed_peers import FeedService, PeerFeed, WatcherSelector
+from masticdeck.coordination.feed_peers import FeedService, PeerFeed
+from masticdeck.coordination.watcher_selector import (
+    WATCHERS_PER_REGION,
+    WatcherSelector,
+)
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, Revision, ZoneId
-from masticdeck.protocol.store import KeyValue
+from masticdeck.protocol.generated.feed_pb2 import FeedRecord
+from masticdeck.protocol.records import RecordInvalid
+from masticdeck.protocol.store import Change, KeyValue
 from masticdeck.state.fleet import Fleet, FleetEntry
 from masticdeck.transport.peers import PeerServer
 
@@ -113,7 +120,7 @@
     source = Source(name, zone)
     fleet_entry = await source.start()
     stack.push_async_callback(source.server.stop)
-    follower.fleet.entries[fleet_entry.id] = fleet_entry
+    follower.fleet.put_entry(fleet_entry)
     return source
 
 
@@ -165,6 +172,107 @@
     await follower.wait_for("a", b"2")
 
 
+CONFIGURATION = b'{"route": "/a/"}' * 20_000
+INCOMPRESSIBLE = bytes(range(256)) * 2
+
+
+async def test_large_record_is_sent_compressed_and_arrives_whole(follower, stack):
+    source = await add_source(stack, follower, "one")
+    source.write("large", CONFIGURATION)
+    source.write("small", INCOMPRESSIBLE)
+    await follower.feed.start()
+    await follower.wait_for("large", CONFIGURATION)
+    await follower.wait_for("small", INCOMPRESSIBLE)
+
+
+def test_compressed_configuration_takes_a_tenth_of_the_bytes():
+    change = Change("large", CONFIGURATION, Revision(1))
+    message = feed_peers.encode_record(change, compress=True)
+    assert len(message.value) < len(CONFIGURATION) / 10
+    assert feed_peers.decode_record(message) == change
+
+
+def test_follower_of_an_older_version_gets_values_as_they_are():
+    change = Change("large", CONFIGURATION, Revision(1))
+    message = feed_peers.encode_record(change, compress=False)
+    assert message.value == CONFIGURATION
+    assert not message.compressed
+
+
+@pytest.mark.parametrize(
+    "value",
+    [b"", b"no zlib data", zlib.compress(CONFIGURATION)[:-4]],
+    ids=["empty", "garbage", "cut short"],
+)
+def test_unreadable_compressed_value_raises(value):
+    record = FeedRecord(key="a", value=value, revision=1, compressed=True)
+    with pytest.raises(RecordInvalid):
+        feed_peers.decode_record(record)
+
+
+def test_compressed_value_is_not_expanded_without_bound(monkeypatch):
+    monkeypatch.setattr(feed_peers, "MAX_RECORD_BYTES", 1_000)
+    record = feed_peers.encode_record(
+        Change("a", CONFIGURATION, Revision(1)), compress=True
+    )
+    with pytest.raises(RecordInvalid):
+        feed_peers.decode_record(record)
+
+
+def test_followers_at_the_same_revision_share_one_encoding(monkeypatch):
+    replica = RecordReplica(Recorder())
+    replica.replace([KeyValue("a", CONFIGURATION, Revision(1))], Revision(1))
+    service = FeedService(replica)
+    compressions = []
+    compress = zlib.compress
+    monkeypatch.setattr(
+        feed_peers.zlib,
+        "compress",
+        lambda *arguments: compressions.append(1) or compress(*arguments),
+    )
+    for _ in range(30):
+        update = replica.update_after(Revision(0), boottime())
+        service.encode_records(update, Revision(0), compress=True)
+    assert len(compressions) == 1
+    replica.apply_changes([Change("a", b"new", Revision(2))], Revision(2))
+    update = replica.update_after(Revision(1), boottime())
+    [record] = service.encode_records(update, Revision(1), compress=True)
+    assert feed_peers.decode_record(record).value == b"new"
+
+
+async def test_follower_moves_to_a_better_source_without_avoiding_the_old_one(
+    follower, stack, monkeypatch
+):
+    monkeypatch.setattr(feed_peers, "REVIEW_INTERVAL_S", 0.2)
+    far = await add_source(stack, follower, "far", "b1")
+    far.write("a", b"1")
+    await follower.feed.start()
+    await follower.wait_for("a", b"1")
+    near = await add_source(stack, follower, "near", "a2")
+    near.write("x", b"0")
+    near.write("a", b"2")
+    await follower.wait_for("a", b"2")
+    assert follower.sources() == ["far", "near"]
+    assert not follower.feed.zone_failed_at
+
+
+async def test_confirmation_is_passed_on_without_waiting_for_the_next_keepalive(
+    follower, stack, monkeypatch
+):
+    monkeypatch.setattr(feed_peers, "KEEPALIVE_INTERVAL_S", 30)
+    monkeypatch.setattr(feed_peers, "SILENCE_TIMEOUT_S", 60)
+    source = await add_source(stack, follower, "one")
+    source.write("a", b"1")
+    await follower.feed.start()
+    await follower.wait_for("a", b"1")
+    await asyncio.sleep(0.5)
+    confirmed_at = boottime()
+    source.replica.confirm(confirmed_at, confirmed_at)
+    async with asyncio.timeout(WAIT_S):
+        while follower.replica.confirmed_at < confirmed_at - 0.1:
+            await asyncio.sleep(0.02)
+
+
 async def test_older_snapshot_changes_nothing(follower, stack):
     follower.replica.replace([KeyValue("a", b"new", Revision(9))], Revision(9))
     source = await add_source(stack, follower, "one")
@@ -183,13 +291,13 @@
     for own in names:
         fleet = Fleet(dict(REGION_OF))
         for name in names:
-            fleet.entries[EntryId(name)] = build_entry(name, "a1")
-        fleet.entries[EntryId("far")] = build_entry("far", "b1")
+            fleet.put_entry(build_entry(name, "a1"))
+        fleet.put_entry(build_entry("far", "b1"))
         selections.add(
             tuple(WatcherSelector(fleet, build_entry(own, "a1")).in_own_region())
         )
     [watchers] = selections
-    assert len(watchers) == feed_peers.WATCHERS_PER_REGION
+    assert len(watchers) == WATCHERS_PER_REGION
     assert "far" not in watchers
 
 
@@ -197,7 +305,7 @@
     """Return the watcher selector of an entry whose fleet has these entries."""
     fleet = Fleet(dict(REGION_OF))
     for name, zone in zones.items():
-        fleet.entries[EntryId(name)] = build_entry(name, zone)
+        fleet.put_entry(build_entry(name, zone))
     return WatcherSelector(fleet, build_entry(own, zones.get(own, "a1")))
 
 
@@ -215,20 +323,20 @@
 
 def test_source_outside_the_zone_of_a_failed_one_is_followed_next(follower):
     for name, zone in {"e1": "a2", "e2": "a2", "e3": "a2", "far": "b1"}.items():
-        follower.fleet.entries[EntryId(name)] = build_entry(name, zone)
+        follower.fleet.put_entry(build_entry(name, zone))
     first = follower.feed.choose_source()
     assert first is not None
     assert first.zone == "a2"
     follower.feed.zone_failed_at[first.zone] = boottime()
     assert follower.feed.choose_source().id == "far"
     follower.feed.zone_failed_at[ZoneId("b1")] = boottime()
-    follower.feed.last_source = first.id
+    follower.feed.failed_source = first.id
     assert follower.feed.choose_source().id != first.id
 
 
 def test_zone_of_a_failed_source_is_used_again_after_a_while(follower):
-    follower.fleet.entries[EntryId("e1")] = build_entry("e1", "a2")
-    follower.fleet.entries[EntryId("far")] = build_entry("far", "b1")
+    follower.fleet.put_entry(build_entry("e1", "a2"))
+    follower.fleet.put_entry(build_entry("far", "b1"))
     follower.feed.zone_failed_at[ZoneId("a2")] = (
         boottime() - feed_peers.FAILED_ZONE_AVOIDANCE_S - 1
     )
@@ -238,5 +346,5 @@
 def test_update_message_keeps_the_time_since_an_outage():
     for seconds in (math.inf, 0.0, 1.5):
         update = FeedUpdate(False, (), Revision(3), 0.25, seconds)
-        decoded = feed_peers.decode_update(feed_peers.encode_update(update))
+        decoded = feed_peers.decode_update(feed_peers.encode_update(update, []))
         assert decoded.outage_ended_s == pytest.approx(seconds, abs=0.002)
