Play late copies, repeated refusals and endless answers in the soak

Instances of the soak now also send a copy of an answer late, an earlier refusal once more with or without its id, refusals that are true, and heads, bodies and garbage without end.

--- a/soak/world.py
+++ b/soak/world.py
@@ -17,6 +17,7 @@
 
 import yaml
 
+from soak.answers import DueAnswer, answer_faults, refuse
 from soak.ledger import Asked, Ledger, Ran
 from soak.proxy import FaultProxy
 from testing.gateway.world import (
@@ -36,11 +37,11 @@
 CALLER_PATIENCE_S = 2.0
 GRACE_S = 6.0
 
-LOST_PART = 0.03
-"""Part of the runs during the faults whose answer is lost with its connection."""
+REFUSED_PART = 0.05
+"""Part of the requests during the faults that an instance refuses."""
 
-EXTRA_PART = 0.03
-"""Part of the answers during the faults that are sent twice."""
+FAULTY_PART = 0.08
+"""Part of the answers during the faults that are faulty."""
 
 
 class Entry:
@@ -175,18 +176,22 @@
 
     async def run_request(self, instance: Any, request: Any, writer: Any) -> None:
         """Run a request at an instance and answer with its own id."""
+        drawn = self.answer_random.random() if self.spoils_answers else 1.0
+        if drawn < REFUSED_PART:
+            refuse(instance, request, writer)
+            return
         now = time.monotonic()
         self.ledger.ran.append(
             Ran(request.id, instance.id, instance.service, request.target, now)
         )
         await asyncio.sleep(self.random.expovariate(1 / WORK_S))
         body = f"{request.id} {instance.id}".encode()
-        answer = instance.head(request, 200, len(body)) + body
-        drawn = self.answer_random.random() if self.spoils_answers else 1.0
-        if drawn < LOST_PART:
-            writer.transport.abort()
-            raise ConnectionResetError
-        writer.write(answer * 2 if drawn < LOST_PART + EXTRA_PART else answer)
+        answer = DueAnswer(instance, request, writer, self.answer_random, body)
+        if drawn < REFUSED_PART + FAULTY_PART:
+            fault = self.answer_random.choice(list(answer_faults))
+            await answer_faults.get(fault)(answer)
+        else:
+            writer.write(answer.whole)
 
     async def is_ready(self, entry: Entry) -> bool:
         """Return whether an entry says that it wants requests."""
