Let requests wait for the configuration of a starting entry

Ruled out: the store, which answered in milliseconds.

Change: in the first 1.5 s of an entry a request waits for the first configuration, a quarter of its caller's time at most. Later it is refused at once, as before.

Tests: test_start.py; the first test got 503 before.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -91,6 +91,25 @@
         test="testing/gateway/test_connections.py"
         "::test_request_whose_deadline_passed_in_a_pause_is_not_sent",
     ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="requests wait for the configuration of a starting entry",
+        file=f"{SOURCE}/gateway/forwarder.py",
+        old="        while self.fleet.routes is None and boottime() < wait_until:",
+        new="        while False:",
+        test="testing/gateway/test_start.py"
+        "::test_request_waits_for_the_configuration_of_a_starting_entry",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="stale pages are used with the changes since then only",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="            self.replica.apply_changes(changes.changes, changes.revision)\n"
+        "        self.replica.replace",
+        new="            pass\n        self.replica.replace",
+        test="testing/coordination/test_feed.py"
+        "::TestStart::test_instance_that_left_since_the_stale_pages_is_never_used",
+    ),
     Mutant(
         promise="a refusal that says not run is true",
         mechanism="a refusal counts only with the id of the request",
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -18,7 +18,7 @@
 from masticdeck.errors import RequestInvalid
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.attempt import AttemptStatus
-from masticdeck.gateway.exchange import Exchange, RouteNotFound
+from masticdeck.gateway.exchange import DEFAULT_REMAINING_S, Exchange, RouteNotFound
 from masticdeck.metrics import Metrics
 from masticdeck.protocol.dialect import Dialect, Headers
 from masticdeck.state.fleet import Fleet, FleetInstance
@@ -29,6 +29,15 @@
 RETRY_AFTER_S = 0.3
 """``Retry-After`` of a rejected request: about one run time at a warm instance."""
 
+MAX_START_S = 1.5
+"""Time after its creation in which an entry on a small VM has read its records.
+
+An entry without a configuration after that cannot reach the store or other entries.
+"""
+
+MAX_CONFIGURATION_WAIT_FRACTION = 0.25
+"""Longest wait for the first configuration, as a fraction of the caller's time."""
+
 NO_CONFIGURATION_RETRY_S = 0.5
 """``Retry-After`` while this entry has no configuration."""
 
@@ -77,6 +86,7 @@
         self.metrics = metrics
         self.is_leaving = is_leaving
         self.traffic_split = TrafficSplit()
+        self.awaits_configuration_until = boottime() + MAX_START_S
 
     def caller_limits(self) -> CallerLimits:
         """Return the limits on callers in the configuration in force."""
@@ -89,16 +99,16 @@
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to one request."""
-        if self.fleet.routes is None:
-            self.reject_unavailable(
-                request,
-                "",
-                reason="no configuration",
-                retry_after_s=NO_CONFIGURATION_RETRY_S,
-            )
-            return
         exchange: Exchange | None = None
         try:
+            if not await self.wait_for_configuration(request):
+                self.reject_unavailable(
+                    request,
+                    "",
+                    reason="no configuration",
+                    retry_after_s=NO_CONFIGURATION_RETRY_S,
+                )
+                return
             exchange = Exchange(self, request)
             await exchange.run()
         except RequestInvalid as error:
@@ -126,6 +136,27 @@
             )
             self.handle_internal_error(request)
 
+    async def wait_for_configuration(self, request: InboundRequest) -> bool:
+        """Return whether a configuration is in force, for which a request may wait.
+
+        Callers connect as soon as an entry listens, some tenths of a second before it
+        has read its records. After a restart of all entries there is no other one that
+        they could use.
+        """
+        if self.fleet.routes is not None:
+            return True
+        remaining_s = self.dialect.read_request(request.headers).remaining_s
+        if remaining_s is None:
+            remaining_s = DEFAULT_REMAINING_S
+        wait_until = min(
+            self.awaits_configuration_until,
+            request.received_at + MAX_CONFIGURATION_WAIT_FRACTION * remaining_s,
+        )
+        while self.fleet.routes is None and boottime() < wait_until:
+            revision = self.replica.revision
+            await self.replica.wait_newer(revision, wait_until - boottime())
+        return self.fleet.routes is not None
+
     def reject_unavailable(
         self,
         request: InboundRequest,
