Count a request as in flight as soon as it is read

A request read in the same step as the last poll, or one whose head was half read, was cut without an answer when the stop went on. And idle connections stayed open while other components stopped, so that a request could still be read from one.

Change: a request counts from its first byte, and idle connections are closed in the step in which a stop finds none in flight.

Tests: test_http1_server.py; the first of the four counted 0 before.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -91,6 +91,15 @@
         test="testing/gateway/test_connections.py"
         "::test_request_whose_deadline_passed_in_a_pause_is_not_sent",
     ),
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="a request counts as in flight as soon as it is read",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="return self.answering + len(self.waiting) + (self.reading is not None)",
+        new="return int(self.answering)",
+        test="testing/transport/test_http1_server.py"
+        "::test_request_counts_as_in_flight_as_soon_as_it_is_read",
+    ),
     Mutant(
         promise="no region is overloaded by a steering decision",
         mechanism="requests wait for the configuration of a starting entry",
@@ -104,8 +113,8 @@
         promise="a leaving backend server gets no new work",
         mechanism="stale pages are used with the changes since then only",
         file=f"{SOURCE}/coordination/feed.py",
-        old="            self.replica.apply_changes(changes.changes, changes.revision)\n"
-        "        self.replica.replace",
+        old="            self.replica.apply_changes(changes.changes, "
+        "changes.revision)\n        self.replica.replace",
         new="            pass\n        self.replica.replace",
         test="testing/coordination/test_feed.py"
         "::TestStart::test_instance_that_left_since_the_stale_pages_is_never_used",
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -215,6 +215,8 @@
         wait_deadline = started_at + self.settings.stop_grace_s - EXIT_MARGIN_S
         while self.caller_server.in_flight and boottime() < wait_deadline:
             await asyncio.sleep(STOP_POLL_S)
+        # No request is read between the last check and the end of the process.
+        self.caller_server.close_idle_connections()
         unregister_task.cancel()
         self.events.emit(Code.ENTRY_FINISHED, in_flight=self.caller_server.in_flight)
 
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -259,7 +259,6 @@
     async def answer(self, request: InboundRequest) -> None:
         """Answer one request."""
         self.answering, self.begun = True, False
-        self.server.in_flight += 1
         try:
             if request.reject_status:
                 self.send_whole(request.reject_status, [], b"", last=True)
@@ -269,7 +268,6 @@
         except ConnectionError:
             self.abort()
         finally:
-            self.server.in_flight -= 1
             self.answering = False
             self.let_go(len(request.body))
 
@@ -376,10 +374,14 @@
         elif now - self.active_at > self.limits.idle_timeout_s:
             self.close_idle()
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are read, queued or being answered."""
+        return self.answering + len(self.waiting) + (self.reading is not None)
+
     def close_idle(self) -> None:
         """Close a connection on which nothing is under way."""
-        idle = not self.answering and not self.waiting and self.reading is None
-        if idle and self.transport is not None:
+        if not self.in_flight and self.transport is not None:
             self.transport.close()
 
 
@@ -396,13 +398,21 @@
         self.handler = handler
         self.limits = limits
         self.connections: set[CallerConnection] = set()
-        self.in_flight = 0
         self.body_bytes = 0
         self.closing = False
         self.ticked_at = boottime()
         self.server: asyncio.Server | None = None
         self.ticker: asyncio.Task[None] | None = None
 
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests whose first byte was read and not answered.
+
+        A request counts before its handler runs, so that a stop does not end between
+        the two.
+        """
+        return sum(connection.in_flight for connection in self.connections)
+
     async def start(self) -> None:
         """Listen on the address."""
         loop = asyncio.get_running_loop()
@@ -436,6 +446,10 @@
     def begin_close(self) -> None:
         """Let each answer end its connection, and close those without work."""
         self.closing = True
+        self.close_idle_connections()
+
+    def close_idle_connections(self) -> None:
+        """Close the connections without work; nothing more is read from them."""
         for connection in list(self.connections):
             connection.close_idle()
 
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -1,4 +1,4 @@
-"""Tests of the callers' server around times in which the process does not run."""
+"""Tests of the callers' server: pauses of the process, and requests under way."""
 
 from __future__ import annotations
 
@@ -99,3 +99,40 @@
     caller.send(REQUEST[10:])
     assert (await receive(caller)).startswith(b"HTTP/1.1 200")
     assert handler.ages_s[0] >= PAUSE_S
+
+
+async def test_request_counts_as_in_flight_as_soon_as_it_is_read(caller, server):
+    """Guards against a stop that ends between reading a request and its handler."""
+    [connection] = server.connections
+    connection.data_received(REQUEST)
+    assert server.in_flight == 1
+    assert await receive(caller)
+    assert server.in_flight == 0
+
+
+async def test_request_whose_head_arrives_in_parts_counts_as_in_flight(caller, server):
+    [connection] = server.connections
+    connection.data_received(REQUEST[:10])
+    assert server.in_flight == 1
+    server.close_idle_connections()
+    connection.data_received(REQUEST[10:])
+    assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+
+
+async def test_requests_of_a_caller_that_left_are_not_in_flight(caller, server):
+    [connection] = server.connections
+    connection.data_received(2 * REQUEST)
+    caller.close()
+    async with asyncio.timeout(WAIT_S):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    assert server.in_flight == 0
+
+
+async def test_idle_connection_is_closed_without_reading_on(caller, server, handler):
+    caller.send(REQUEST)
+    server.close_idle_connections()
+    async with asyncio.timeout(WAIT_S):
+        while server.connections:
+            await asyncio.sleep(0.01)
+    assert not handler.ages_s
