--- a/testing/coordination/load_simulation.py
+++ b/testing/coordination/load_simulation.py
@@ -1,12 +1,13 @@
 """Simulates load on dispatchers in virtual time, without a network.
 
-Nine entries share instances that cache a few objects: a request for a cached
-object takes 0.3 of the work. Virtual time makes a simulation reproducible.
+Entries, nine unless stated, share instances that cache a few objects: a request for
+a cached object takes 0.3 of the work. Virtual time makes a simulation reproducible.
 """
 
 from __future__ import annotations
 
 import asyncio
+import math
 import random
 import selectors
 from collections import OrderedDict
@@ -171,8 +172,30 @@
         return self.served / max(1, self.sent)
 
 
+class SimulatedConnections:
+    """Idle connections of entries to instances, which close them after a time.
+
+    Without a timeout every pair is connected from the start.
+    """
+
+    def __init__(self, idle_timeout_s: float) -> None:
+        self.idle_timeout_s = idle_timeout_s
+        self.idle_since: dict[tuple[Dispatcher, InstanceId], list[float]] = {}
+
+    def take(self, pair: tuple[Dispatcher, InstanceId], now: float) -> bool:
+        """Return whether an idle connection could be taken."""
+        if self.idle_timeout_s == math.inf:
+            return True
+        idle = self.idle_since.get(pair, [])
+        return bool(idle) and now - idle.pop() < self.idle_timeout_s
+
+    def give_back(self, pair: tuple[Dispatcher, InstanceId], now: float) -> None:
+        """Keep a connection for a later request."""
+        self.idle_since.setdefault(pair, []).append(now)
+
+
 class LoadSimulation:
-    """Simulates nine entries, some instances, and callers of some routes."""
+    """Simulates entries, some instances, and callers of some routes."""
 
     def __init__(
         self,
@@ -183,7 +206,10 @@
         interference: bool = False,
         reports_slowdown: bool = True,
         cross_region_rtt_s: float = 0.0,
+        entries: int = ENTRIES,
+        idle_timeout_s: float = math.inf,
     ) -> None:
+        self.connections = SimulatedConnections(idle_timeout_s)
         self.random = random.Random(seed)
         self.fleet = Fleet(dict(REGION_OF))
         zones = list(REGION_OF)
@@ -207,9 +233,9 @@
                 InstanceLoads(),
                 RunTimes(),
                 Health(seed=seed),
-                entry_count=lambda: ENTRIES,
+                entry_count=lambda: entries,
             )
-            for number in range(ENTRIES)
+            for number in range(entries)
         ]
         for entry in self.entries:
             entry.placement.cross_region_rtt_s = cross_region_rtt_s
@@ -281,14 +307,18 @@
         simulated = self.simulated_instances[instance.id]
         run_key = request.route, instance.id, request.key
         one_way_s = self.one_way_s(dispatcher.placement, instance)
+        pair = dispatcher, instance.id
         try:
             async with asyncio.timeout_at(request.deadline):
+                if not self.connections.take(pair, started_at):
+                    await asyncio.sleep(2 * one_way_s)
                 await asyncio.sleep(one_way_s)
                 was_run = await simulated.run(
                     f"{request.route.id}/{request.key}", work_s
                 )
                 report = simulated.use()
                 await asyncio.sleep(one_way_s)
+            self.connections.give_back(pair, loop.time())
             dispatcher.loads.record_report(load, report, loop.time())
             if was_run:
                 dispatcher.loads.record_latency(load, loop.time() - started_at)
--- a/testing/coordination/test_load_simulation.py
+++ b/testing/coordination/test_load_simulation.py
@@ -8,6 +8,7 @@
 import pytest
 
 from masticdeck.coordination import dispatch, instance_load, placement
+from masticdeck.coordination.caller_subset import select_entries
 from masticdeck.coordination.dispatch import PendingRequest
 from masticdeck.state.routes import RouteId
 from testing.coordination.load_simulation import (
@@ -15,9 +16,11 @@
     OutcomeCounts,
     run_in_virtual_time,
 )
+from testing.coordination.test_caller_subset import build_zone
 from testing.coordination.test_placement import build_route
 
 SEEDS = [1, 2, 3]
+LARGE_FLEET_SEEDS = range(1, 7)
 
 
 def simulate_one_route(
@@ -222,6 +225,58 @@
     )
 
 
+def simulate_large_fleet(seed: int, monkeypatch, *, entries: int) -> OutcomeCounts:
+    """Simulate callers of three regions that use a number of entries."""
+    results: list[OutcomeCounts] = []
+
+    async def body() -> None:
+        simulation = LoadSimulation(
+            seed,
+            instances=40,
+            slots=3,
+            interference=True,
+            cross_region_rtt_s=0.07,
+            entries=entries,
+            idle_timeout_s=5.0,
+        )
+        route = replace(build_route(), objective_s=0.41, timeout_s=2.5)
+        await simulation.offer(route, per_s=330, work_s=0.49, keys=300, duration_s=10)
+        results.append(simulation.counts_by_priority[route.priority])
+
+    run_in_virtual_time(body, monkeypatch)
+    return results[0]
+
+
+def test_callers_of_the_selected_entries_meet_the_objective_more_often(monkeypatch):
+    """The load of a deployment of 78 unequal VMs in six zones.
+
+    The fewer entries share the callers, the more often a request finds an open
+    connection to its instance, and the fresher are the load reports.
+    """
+    zones = 6
+    zone = build_zone(large=2, small=11)
+    all_entries = zones * len(zone)
+    selected_entries = zones * len(select_entries(zone))
+    assert selected_entries < all_entries / 2
+    by_entries = {
+        entries: [
+            simulate_large_fleet(seed, monkeypatch, entries=entries)
+            for seed in LARGE_FLEET_SEEDS
+        ]
+        for entries in (selected_entries, all_entries)
+    }
+    in_objective, served = (
+        {
+            entries: sum(getattr(count, name) for count in counts)
+            / sum(count.sent for count in counts)
+            for entries, counts in by_entries.items()
+        }
+        for name in ("in_objective", "served")
+    )
+    assert in_objective[selected_entries] > in_objective[all_entries]
+    assert served[selected_entries] > 0.99
+
+
 def test_simulation_is_reproducible(monkeypatch):
     first = simulate_one_route(1, monkeypatch)
     assert first == simulate_one_route(1, monkeypatch)
