--- a/testing/platform/standin_store.py
+++ b/testing/platform/standin_store.py
@@ -3,7 +3,8 @@
 Faults are switched on by attributes: ``refuse_with`` answers every call with a
 status, ``lose_answers`` acts and then breaks the connection, ``delay_s`` makes
 answers slow, ``silent`` never answers, ``fixed_answers`` has the bytes that answer
-a call, or every call under ``*``, ``compact`` drops the history.
+a call, or every call under ``*``, ``compact`` drops the history, ``stale_lags`` has how
+many revisions each stale page lags behind.
 """
 
 from __future__ import annotations
@@ -11,6 +12,7 @@
 import asyncio
 import base64
 import itertools
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -46,6 +48,7 @@
         self.fixed_answers: dict[str, bytes] = {}
         self.lose_answers = False
         self.silent = False
+        self.stale_lags: Iterator[int] = itertools.repeat(0)
         self.delay_s = 0.0
         self.changed = asyncio.Event()
         self.runner: web.AppRunner | None = None
@@ -144,8 +147,10 @@
         keys = sorted(key for key in self.items if key.startswith(prefix))
         keys = [key for key in keys if key > after]
         page = [self.items[key] for key in keys[:PAGE_ITEMS]]
+        is_stale = request.query.get("stale_ok") == "1"
+        revision = self.revision - (next(self.stale_lags) if is_stale else 0)
         return web.json_response(
-            {"items": page, "has_more": len(keys) > PAGE_ITEMS, "at": self.revision}
+            {"items": page, "has_more": len(keys) > PAGE_ITEMS, "at": revision}
         )
 
     async def answer_watch(self, request: web.Request) -> web.Response:
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -13,6 +13,7 @@
     StoreUnavailable,
 )
 from masticdeck.events import Code
+from masticdeck.ids import Revision
 from masticdeck.platform import store as store_module
 from masticdeck.protocol.store import ABSENT
 
@@ -54,6 +55,25 @@
     assert (await reading).revision == first
 
 
+async def test_stale_listing_has_the_revision_of_its_oldest_page(store, standin):
+    for number in range(8):
+        standin.write(f"a/{number}", b"x")
+    standin.stale_lags = iter([1, 4, 2])
+    listing = await store.list("a/", allow_stale=True)
+    assert listing.revision == standin.revision - 4
+    assert len(listing.items) == 8
+    assert (await store.list("a/")).revision == standin.revision
+
+
+async def test_watch_without_a_wait_returns_what_there_is(store, standin):
+    standin.write("a", b"1")
+    revision = standin.revision
+    assert (await store.watch("", Revision(revision), wait_s=0.0)).changes == ()
+    standin.write("a", b"2")
+    changes = await store.watch("", Revision(revision), wait_s=0.0)
+    assert [change.value for change in changes.changes] == [b"2"]
+
+
 async def test_watch_returns_values_and_deletions(store, standin):
     standin.write("a", b"1")
     standin.remove("a")
