--- a/testing/programs/test_gateway.py
+++ b/testing/programs/test_gateway.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
 import os
 import signal
 import sys
 from collections.abc import AsyncIterator
+from contextlib import suppress
 from pathlib import Path
 
 import pytest
@@ -176,6 +178,99 @@
     writer.close()
 
 
+async def test_request_whose_deadline_passed_during_a_pause_is_not_run(
+    process, instance
+):
+    await process.start_and_wait()
+    world = World(stack=None)
+    reader, writer = await connect(process)
+    await asyncio.sleep(0.2)
+    process.process.send_signal(signal.SIGSTOP)
+    writer.write(world.request_bytes("/s/a", remaining_ms=500))
+    await asyncio.sleep(2.0)
+    process.process.send_signal(signal.SIGCONT)
+    async with asyncio.timeout(TIMEOUT_S):
+        response = await read_response(reader)
+    assert response.status == 503
+    assert not instance.requests
+    writer.close()
+
+
+class StopCallers:
+    """Callers that go on through a planned stop and note what was not answered."""
+
+    def __init__(self, process: GatewayProcess) -> None:
+        self.process = process
+        self.world = World(stack=None)
+        self.numbers = itertools.count()
+        self.answered: set[str] = set()
+        self.unanswered: set[str] = set()
+
+    async def call(self, count: int, *, pause_s: float = 0.0) -> None:
+        """Use one connection after the other until none can be opened.
+
+        ``count`` requests are pipelined; with a pause, a body comes in two parts.
+        """
+        while True:
+            try:
+                reader, writer = await connect(self.process)
+            except OSError:
+                return
+            with suppress(OSError, asyncio.IncompleteReadError):
+                await self.use(reader, writer, count, pause_s)
+            writer.close()
+            await asyncio.sleep(0.005)
+
+    async def use(self, reader, writer, count: int, pause_s: float) -> None:
+        """Send requests on a connection until an answer ends it."""
+        response = None
+        while response is None or "connection" not in response.headers:
+            names = [f"stop-{next(self.numbers)}" for _ in range(count)]
+            self.unanswered |= set(names)
+            body = b"x" * 100 if pause_s else b""
+            method = "POST" if pause_s else "GET"
+            message = b"".join(
+                self.world.request_bytes(
+                    "/s/a", method=method, body=body, request_id=name
+                )
+                for name in names
+            )
+            writer.write(message[:-50])
+            await asyncio.sleep(pause_s)
+            writer.write(message[-50:])
+            for name in names:
+                response = await read_response(reader)
+                self.answered.add(name)
+                self.unanswered.discard(name)
+                if "connection" in response.headers:
+                    return
+
+
+async def test_planned_stop_answers_all_that_reached_an_instance(process, instance):
+    """Callers on new and kept connections, pipelined, and with bodies under way."""
+
+    async def respond_after_a_while(instance, request, writer):
+        await asyncio.sleep(0.03)
+        await answer_well(instance, request, writer)
+
+    instance.act = respond_after_a_while
+    instance.slots = 64
+    await process.start_and_wait()
+    callers = StopCallers(process)
+    tasks = [
+        asyncio.create_task(callers.call(count, pause_s=pause_s))
+        for count, pause_s in [(1, 0.0), (1, 0.0), (3, 0.0), (1, 0.05), (1, 0.2)]
+    ]
+    await asyncio.sleep(0.5)
+    process.process.send_signal(signal.SIGTERM)
+    async with asyncio.timeout(TIMEOUT_S):
+        await asyncio.gather(*tasks)
+    assert await process.end() == 0
+    reached_instance = {request.id for request in instance.requests}
+    assert not callers.unanswered & reached_instance
+    assert len(callers.answered) > 100
+
+
 async def test_stop_removes_the_registration(process, store):
     await process.start()
     await process.wait_for("entry_registered")
