Leave sources of records that follow each other

Ruled out: the store, which served the other regions, and links, which were whole.

Change: an update states the number of entries between its sender and the store. In a circle it grows with each update, within some round trips, and a source six entries away is left like one with an outdated replica.

Tests: two watchers of a region and one of another; red after 1 s without the change.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -241,6 +241,15 @@
         test="testing/coordination/test_feed.py"
         "::test_record_removed_after_the_loss_of_a_source_has_not_expired",
     ),
+    Mutant(
+        promise="an accepted configuration is in force everywhere within seconds",
+        mechanism="sources that follow each other are left",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old=" or update.hops >= MAX_HOPS:",
+        new=":",
+        test="testing/coordination/test_feed_peers.py::"
+        "test_watchers_that_the_store_rejects_do_not_keep_following_each_other",
+    ),
     Mutant(
         promise="a leaving backend server gets no new work",
         mechanism="the zone of a failed source is avoided",
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -68,8 +68,9 @@
     """Records for a follower: a snapshot, or the changes that it lacks.
 
     ``age_s`` is the time since the replica of the sender was last known to be
-    current, and ``outage_ended_s`` the time since the sender observed the end of
-    an outage of the store.
+    current, ``outage_ended_s`` the time since the sender observed the end of an
+    outage of the store, and ``hops`` the number of entries between the sender and the
+    store.
     """
 
     is_snapshot: bool
@@ -77,6 +78,7 @@
     revision: Revision
     age_s: float
     outage_ended_s: float = math.inf
+    hops: int = 0
 
 
 class RecordReplica:
@@ -86,6 +88,8 @@
     if calls of the store failed in this time, here or at the source of the
     replica. If an entry has merely lost its source, removed records were really
     removed and have not expired.
+
+    ``hops`` is the number of entries between the replica and the store.
     """
 
     def __init__(self, listener: FeedListener) -> None:
@@ -93,6 +97,7 @@
         self.records: dict[str, KeyValue] = {}
         self.deletion_revisions: dict[str, Revision] = {}
         self.revision = Revision(0)
+        self.hops = 0
         self.recent_changes: deque[Change] = deque(maxlen=MAX_RECENT_CHANGES)
         self.recent_changes_after = Revision(0)
         self.confirmed_at = float("-inf")
@@ -131,6 +136,12 @@
             if not waiter.done():
                 waiter.set_result(None)
 
+    def set_hops(self, hops: int) -> None:
+        """Record how many entries are between the replica and the store."""
+        if hops != self.hops:
+            self.hops = hops
+            self.wake_waiters()
+
     def age_s(self, now: float) -> float:
         """Return the time since the replica was last known to be current."""
         return now - self.confirmed_at
@@ -218,13 +229,23 @@
                 Change(record.key, record.value, record.revision) for record in records
             )
             return FeedUpdate(
-                True, changes, self.revision, age_s, now - self.outage_ended_at
+                True,
+                changes,
+                self.revision,
+                age_s,
+                now - self.outage_ended_at,
+                self.hops,
             )
         newer_changes = newest_by_key(
             change for change in self.recent_changes if change.revision > revision
         )
         return FeedUpdate(
-            False, newer_changes, self.revision, age_s, now - self.outage_ended_at
+            False,
+            newer_changes,
+            self.revision,
+            age_s,
+            now - self.outage_ended_at,
+            self.hops,
         )
 
     def apply_update(self, update: FeedUpdate, now: float) -> None:
@@ -288,6 +309,7 @@
                     continue
                 started_at = boottime()
                 await self.poll_once()
+                self.replica.set_hops(0)
                 self.is_failing, self.retry_s = False, INITIAL_RETRY_S
                 await asyncio.sleep(
                     max(0.0, MIN_WATCH_INTERVAL_S - (boottime() - started_at))
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -4,7 +4,10 @@
 of another one, which ``WatcherSelector`` selects. An entry whose source fails chooses
 another one, outside the zone of the failed one if possible: a watcher of its region
 first, then a watcher of another region, then any entry. A watcher that the store
-rejects does the same.
+rejects does the same. Rejected watchers may follow each other, and their followers
+would get nothing new until the replicas are outdated. Therefore each update states the
+number of entries between its sender and the store: in a circle it grows with every
+update, and a follower leaves a source for which it is too large.
 
 A large record is sent compressed, because a configuration with many routes would
 otherwise occupy the link of a small VM for seconds.
@@ -57,6 +60,13 @@
 CHECK_INTERVAL_S = 0.2
 """Seconds between checks whether another entry has to be followed."""
 
+MAX_HOPS = 6
+"""Number of entries between a source and the store from which it is left.
+
+A watcher that follows one of another region, its relay and the relay's followers need
+three; two more are left for sources that are found after failures.
+"""
+
 REVIEW_INTERVAL_S = 3.0
 """Mean time after which a follower looks for a better source than its present one.
 
@@ -227,8 +237,9 @@
                     break
                 update = decode_update(message)
                 self.replica.apply_update(update, boottime())
-                if update.age_s > MAX_REPLICA_AGE_S:
+                if update.age_s > MAX_REPLICA_AGE_S or update.hops >= MAX_HOPS:
                     break
+                self.replica.set_hops(update.hops + 1)
                 if boottime() >= review_at:
                     review_at = boottime() + REVIEW_INTERVAL_S
                     is_outranked = self.has_better_source(source.id)
@@ -260,6 +271,7 @@
         revision=update.revision,
         age_ms=round(min(update.age_s, 1e6) * 1000),
         outage_ended_ms=encode_outage_age_ms(update.outage_ended_s),
+        hops=update.hops,
     )
 
 
@@ -296,4 +308,5 @@
         Revision(message.revision),
         message.age_ms / 1000,
         message.outage_ended_ms / 1000 or math.inf,
+        message.hops,
     )
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -77,12 +77,12 @@
 class Follower:
     """An entry that does not follow the store."""
 
-    def __init__(self) -> None:
+    def __init__(self, name: str = "own", zone: str = "a1") -> None:
         self.recorder = Recorder()
         self.replica = RecordReplica(self.recorder)
         self.events = EventLog("own", HybridClock())
         self.fleet = Fleet(dict(REGION_OF))
-        watchers = WatcherSelector(self.fleet, build_entry("own", "a1"))
+        watchers = WatcherSelector(self.fleet, build_entry(name, zone))
         store_feed = StoreFeed(
             None, self.replica, self.events, should_follow=lambda: False
         )
@@ -273,6 +273,34 @@
             await asyncio.sleep(0.02)
 
 
+async def test_watchers_that_the_store_rejects_do_not_keep_following_each_other(stack):
+    """Both watchers of a region lose the store at once and choose each other."""
+    far = Source("far", "b1")
+    far_entry = await far.start()
+    stack.push_async_callback(far.server.stop)
+    far.write("x", b"0")
+    far.write("a", b"new")
+    watchers = [Follower("one", "a1"), Follower("two", "a2")]
+    entries = [far_entry]
+    for watcher, name, zone in zip(watchers, ["one", "two"], ["a1", "a2"], strict=True):
+        watcher.replica.replace([KeyValue("a", b"old", Revision(1))], Revision(1))
+        watcher.replica.confirm(boottime(), boottime())
+        server = PeerServer("127.0.0.1", 0, [FeedService(watcher.replica)])
+        await server.start()
+        stack.push_async_callback(server.stop)
+        port = server.server._server.sockets[0].getsockname()[1]
+        entries.append(build_entry(name, zone, port))
+    for watcher in watchers:
+        for entry in entries:
+            watcher.fleet.put_entry(entry)
+        await watcher.feed.start()
+        stack.push_async_callback(watcher.feed.stop)
+    async with asyncio.timeout(feed_peers.MAX_REPLICA_AGE_S / 2):
+        for watcher in watchers:
+            await watcher.wait_for("a", b"new")
+    assert all(watcher.sources()[0] != "far" for watcher in watchers)
+
+
 async def test_older_snapshot_changes_nothing(follower, stack):
     follower.replica.replace([KeyValue("a", b"new", Revision(9))], Revision(9))
     source = await add_source(stack, follower, "one")
@@ -345,6 +373,7 @@
 
 def test_update_message_keeps_the_time_since_an_outage():
     for seconds in (math.inf, 0.0, 1.5):
-        update = FeedUpdate(False, (), Revision(3), 0.25, seconds)
+        update = FeedUpdate(False, (), Revision(3), 0.25, seconds, 4)
         decoded = feed_peers.decode_update(feed_peers.encode_update(update, []))
+        assert decoded.hops == 4
         assert decoded.outage_ended_s == pytest.approx(seconds, abs=0.002)
