--- a/soak/answers.py
+++ b/soak/answers.py
@@ -44,6 +44,12 @@
         """Return the correct answer."""
         return self.instance.head(self.request, 200, len(self.body)) + self.body
 
+    def write(self, data: bytes) -> None:
+        """Write to the connection, or raise ConnectionResetError if it is closed."""
+        if self.writer.is_closing():
+            raise ConnectionResetError
+        self.writer.write(data)
+
 
 AnswerFault = Callable[[DueAnswer], Awaitable[None]]
 answer_faults: Registry[AnswerFault] = Registry("answer fault")
@@ -68,13 +74,13 @@
 @answer_faults.register("repeated")
 async def repeat(answer: DueAnswer) -> None:
     """Write the answer twice."""
-    answer.writer.write(answer.whole * 2)
+    answer.write(answer.whole * 2)
 
 
 @answer_faults.register("copied late")
 async def copy_late(answer: DueAnswer) -> None:
     """Write a copy after a while, when the connection may be in use again."""
-    answer.writer.write(answer.whole)
+    answer.write(answer.whole)
     asyncio.get_running_loop().call_later(
         answer.random.uniform(0.0, MAX_COPY_DELAY_S), write_if_open, answer
     )
@@ -82,8 +88,8 @@
 
 def write_if_open(answer: DueAnswer) -> None:
     """Write the copy of an answer unless the connection has closed."""
-    if not answer.writer.is_closing():
-        answer.writer.write(answer.whole)
+    with suppress(ConnectionError):
+        answer.write(answer.whole)
 
 
 @answer_faults.register("after an earlier refusal")
@@ -95,16 +101,16 @@
         refusal = b"\r\n".join(
             line for line in lines if not line.startswith(b"Attempt-Id:")
         )
-    answer.writer.write(refusal)
+    answer.write(refusal)
     await answer.writer.drain()
     await asyncio.sleep(answer.random.uniform(0.0, 0.02))
-    answer.writer.write(answer.whole)
+    answer.write(answer.whole)
 
 
 @answer_faults.register("endless head")
 async def write_endless_head(answer: DueAnswer) -> None:
     """Write headers without end."""
-    answer.writer.write(b"HTTP/1.1 200 OK\r\n")
+    answer.write(b"HTTP/1.1 200 OK\r\n")
     await write_endlessly(answer, b"X-Filler: " + b"x" * ENDLESS_CHUNK_BYTES + b"\r\n")
 
 
@@ -112,7 +118,7 @@
 async def write_endless_body(answer: DueAnswer) -> None:
     """Write chunks of a body without end."""
     extra = "Transfer-Encoding: chunked"
-    answer.writer.write(answer.instance.head(answer.request, 200, None, extra))
+    answer.write(answer.instance.head(answer.request, 200, None, extra))
     chunk = b"%x\r\n%b\r\n" % (ENDLESS_CHUNK_BYTES, b"x" * ENDLESS_CHUNK_BYTES)
     await write_endlessly(answer, chunk)
 
@@ -126,7 +132,7 @@
 async def write_endlessly(answer: DueAnswer, chunk: bytes) -> None:
     """Write until the connection closes."""
     with suppress(ConnectionError):
-        while not answer.writer.is_closing():
-            answer.writer.write(chunk)
+        while True:
+            answer.write(chunk)
             await answer.writer.drain()
             await asyncio.sleep(ENDLESS_PAUSE_S)
--- a/soak/world.py
+++ b/soak/world.py
@@ -191,7 +191,7 @@
             fault = self.answer_random.choice(list(answer_faults))
             await answer_faults.get(fault)(answer)
         else:
-            writer.write(answer.whole)
+            answer.write(answer.whole)
 
     async def is_ready(self, entry: Entry) -> bool:
         """Return whether an entry says that it wants requests."""
