--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -91,7 +91,7 @@
 
     def __init__(self, replica: RecordReplica) -> None:
         self.replica = replica
-        self.encoded_for: tuple[Revision, Revision, bool] | None = None
+        self.encoded_for: tuple[bool, Revision, Revision, bool] | None = None
         self.encoded_records: list[FeedRecord] = []
 
     async def Follow(  # noqa: N802
@@ -112,7 +112,7 @@
         self, update: FeedUpdate, after: Revision, *, compress: bool
     ) -> list[FeedRecord]:
         """Return the encoded records of an update for a follower at ``after``."""
-        basis = (after, update.revision, compress)
+        basis = (update.is_snapshot, after, update.revision, compress)
         if self.encoded_for != basis:
             self.encoded_records = [
                 encode_record(change, compress=compress) for change in update.changes
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -240,6 +240,26 @@
     assert feed_peers.decode_record(record).value == b"new"
 
 
+def test_snapshot_is_whole_although_the_same_changes_were_sent_before():
+    """The source has read its records again, because the store lost its history.
+
+    A follower takes a snapshot for all records there are, and removes the others.
+    """
+    replica = RecordReplica(Recorder())
+    service = FeedService(replica)
+    items = [KeyValue(key, b"x", Revision(1)) for key in "abc"]
+    replica.replace(items, Revision(1))
+    replica.apply_changes([Change("d", b"x", Revision(2))], Revision(2))
+    update = replica.update_after(Revision(1), boottime())
+    [record] = service.encode_records(update, Revision(1), compress=True)
+    assert record.key == "d"
+    replica.replace([*items, KeyValue("d", b"x", Revision(2))], Revision(2))
+    update = replica.update_after(Revision(1), boottime())
+    assert update.is_snapshot
+    records = service.encode_records(update, Revision(1), compress=True)
+    assert {record.key for record in records} == set("abcd")
+
+
 async def test_follower_moves_to_a_better_source_without_avoiding_the_old_one(
     follower, stack, monkeypatch
 ):
