--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -241,6 +241,15 @@
         test="testing/coordination/test_feed.py"
         "::test_record_removed_after_the_loss_of_a_source_has_not_expired",
     ),
+    Mutant(
+        promise="entries act on one view of the fleet",
+        mechanism="a snapshot is encoded apart from changes",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old="        basis = (update.is_snapshot, after, update.revision, compress)",
+        new="        basis = (False, after, update.revision, compress)",
+        test="testing/coordination/test_feed_peers.py"
+        "::test_snapshot_is_whole_although_the_same_changes_were_sent_before",
+    ),
     Mutant(
         promise="an accepted configuration is in force everywhere within seconds",
         mechanism="sources that follow each other are left",
