Allow endless answers that are cut at the caller's deadline during a planned stop

Change: the ledger knows which answers have no end and allows the cut of these, only if they went on for 1.9 s. All other cuts count as before; test_ledger.py shows both.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -8,6 +8,9 @@
 
 REFUSALS = frozenset({408, 421, 429, 503})
 
+MIN_ENDLESS_ANSWER_S = 1.9
+"""Time for which an answer without end is passed on; callers wait 2 s."""
+
 
 @dataclass
 class Asked:
@@ -48,6 +51,7 @@
     killed: set[str] = field(default_factory=set)
     exits: dict[str, int] = field(default_factory=dict)
     early_stops: set[str] = field(default_factory=set)
+    endless: set[str] = field(default_factory=set)
 
     def calm(self, since: float, until: float) -> bool:
         """Return whether no fault touched a span."""
@@ -125,7 +129,8 @@
     def bad_stops(self) -> list[str]:
         """A planned stop ends in time with status 0 and cuts no request.
 
-        A process that was not ready yet may also end by the signal itself.
+        A process that was not ready yet may also end by the signal itself. An answer
+        that its instance never ends is cut at the caller's deadline.
         """
         found = [
             f"STOP {name} ended with {status}"
@@ -142,6 +147,13 @@
             if span is None or one.entry in self.killed or one.status:
                 continue
             in_span = span[0] <= one.ended_at <= span[1]
+            if in_span and self.was_endless(one):
+                continue
             if in_span and one.id in began and self.calm(span[0] - 4, one.ended_at):
                 found.append(f"LOST {one.id} at {one.entry} while it stopped")
         return found
+
+    def was_endless(self, one: Asked) -> bool:
+        """Return whether an instance's answer went on until the caller's deadline."""
+        waited_s = one.ended_at - one.sent_at
+        return one.id in self.endless and waited_s >= MIN_ENDLESS_ANSWER_S
--- a/soak/world.py
+++ b/soak/world.py
@@ -189,6 +189,8 @@
         answer = DueAnswer(instance, request, writer, self.answer_random, body)
         if drawn < REFUSED_PART + FAULTY_PART:
             fault = self.answer_random.choice(list(answer_faults))
+            if fault == "endless body":
+                self.ledger.endless.add(request.id)
             await answer_faults.get(fault)(answer)
         else:
             answer.write(answer.whole)
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -75,6 +75,35 @@
         "LOST",
         id="cut by a stop",
     ),
+    pytest.param(
+        ledger(
+            asked(status=0, body=b"", signed=False, ended_at=102.0),
+            ran(),
+            planned_stops={"entry-0#1": (99.0, 105.0)},
+            endless={"id-1"},
+        ),
+        None,
+        id="endless answer cut at the deadline in a stop",
+    ),
+    pytest.param(
+        ledger(
+            LOST,
+            ran(),
+            planned_stops={"entry-0#1": (99.0, 105.0)},
+            endless={"id-1"},
+        ),
+        "LOST",
+        id="endless answer cut early by a stop",
+    ),
+    pytest.param(
+        ledger(
+            asked(status=0, body=b"", signed=False, ended_at=102.0),
+            ran(),
+            planned_stops={"entry-0#1": (99.0, 105.0)},
+        ),
+        "LOST",
+        id="answer cut at the deadline in a stop",
+    ),
     pytest.param(
         ledger(
             LOST,
