--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -227,8 +227,8 @@
         promise="a leaving backend server gets no new work",
         mechanism="a source with an outdated replica is left",
         file=f"{SOURCE}/coordination/feed_peers.py",
-        old="                if update.age_s > MAX_REPLICA_AGE_S:",
-        new="                if False:",
+        old="if update.age_s > MAX_REPLICA_AGE_S or update.hops >= MAX_HOPS:",
+        new="if update.hops >= MAX_HOPS:",
         test="testing/coordination/test_feed_peers.py"
         "::test_follower_changes_a_source_with_an_outdated_replica",
     ),
