--- a/soak/world.py
+++ b/soak/world.py
@@ -40,8 +40,8 @@
 REFUSED_PART = 0.05
 """Part of the requests during the faults that an instance refuses."""
 
-FAULTY_PART = 0.08
-"""Part of the answers during the faults that are faulty."""
+PART_OF_EACH_FAULT = 0.03
+"""Part of the requests during the faults whose answer has a given fault."""
 
 
 class Entry:
@@ -187,8 +187,9 @@
         await asyncio.sleep(self.random.expovariate(1 / WORK_S))
         body = f"{request.id} {instance.id}".encode()
         answer = DueAnswer(instance, request, writer, self.answer_random, body)
-        if drawn < REFUSED_PART + FAULTY_PART:
-            fault = self.answer_random.choice(list(answer_faults))
+        names = list(answer_faults)
+        if drawn < REFUSED_PART + PART_OF_EACH_FAULT * len(names):
+            fault = self.answer_random.choice(names)
             if fault == "endless body":
                 self.ledger.endless.add(request.id)
             await answer_faults.get(fault)(answer)
