--- a/review/2/case.py
+++ b/review/2/case.py
@@ -85,6 +85,7 @@
             count += 1
             name = f"view-{self.number}-{count}"
             sent_at = time.monotonic()
+            self.record.add(f"client sent {name}")
             status = "no answer"
             with suppress(AnswerIncomplete, OSError, TimeoutError):
                 async with asyncio.timeout(CLIENT_WAIT_S):
@@ -97,8 +98,7 @@
                     writer.close()
             wait_s = time.monotonic() - sent_at
             self.waits.append(wait_s)
-            if wait_s > TIMEOUT_S:
-                self.record.add(f"{name} waited {wait_s:.2f} s: {status}")
+            self.record.add(f"client got {status} for {name} after {wait_s:.2f} s")
             await asyncio.sleep(INTERVAL_S)
 
 
@@ -148,6 +148,9 @@
         client.running = False
     await asyncio.gather(*runs)
     record.add(f"the entry had {entry.peak_mb():.0f} MB at most")
+    for instance in instances:
+        for request in instance.requests:
+            record.add(f"{instance.id} ran {request.id}")
     waits = [wait_s for client in clients for wait_s in client.waits]
     unanswered = [wait_s for wait_s in waits if wait_s > TIMEOUT_S]
     late = [wait_s for wait_s in unanswered if wait_s > TIMEOUT_S + LATE_S]
