Bound chunk headers and trailers of an instance's answer

Cause: InstanceConnection counted the bytes of a head and of an unread body, but none of chunk headers and trailers. The parser appends each read to the trailer that it collects, so memory grew at the speed of the link and the loop was busy copying. The log said nothing; request_failed now names the cause.

Change: at most 64 KB of framing between two parts of a body and after the last one. Nothing else can grow: a part of the body resets the count and is bounded by MAX_BUFFERED_BYTES, and a head by MAX_HEAD_BYTES.

Mutant and soak fault added.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -11,6 +11,15 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a faulty instance harms no other request",
+        mechanism="chunk headers and trailers of an answer are bounded",
+        file=f"{SOURCE}/transport/http1_client.py",
+        old="        if self.framing_bytes > MAX_FRAMING_BYTES:",
+        new="        if False:",
+        test="testing/transport/test_http1_client.py"
+        "::test_framing_without_end_breaks_the_exchange_within_a_bound",
+    ),
     Mutant(
         promise="a shift of traffic stays under its cap",
         mechanism="the fraction of a region's own keys depends on the fleet only",
--- a/soak/answers.py
+++ b/soak/answers.py
@@ -123,6 +123,15 @@
     await write_endlessly(answer, chunk)
 
 
+@answer_faults.register("endless trailer")
+async def write_endless_trailer(answer: DueAnswer) -> None:
+    """Write a whole body and a trailer without end."""
+    extra = "Transfer-Encoding: chunked"
+    answer.write(answer.instance.head(answer.request, 200, None, extra))
+    answer.write(b"%x\r\n%b\r\n0\r\nX-Filler: " % (len(answer.body), answer.body))
+    await write_endlessly(answer, b"x" * ENDLESS_CHUNK_BYTES)
+
+
 @answer_faults.register("endless garbage")
 async def write_garbage(answer: DueAnswer) -> None:
     """Write bytes without end that are no answer."""
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -25,6 +25,13 @@
 MAX_HEAD_BYTES = 65_536
 """Longest head that an instance may send, in bytes."""
 
+MAX_FRAMING_BYTES = 65_536
+"""Most bytes between two parts of a body, or after its last part.
+
+These are chunk headers with their extensions, and trailers. The parser collects a
+trailer until its end, so that one without end would exhaust the memory.
+"""
+
 UNACKED_MS = 700
 """How long sent bytes may stay unacknowledged before the kernel gives up.
 
@@ -87,6 +94,7 @@
         self.reason = b""
         self.headers: HeaderList = []
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.bodyless = False
 
     # Exchange, called by one task at a time.
@@ -161,7 +169,9 @@
         if not self.busy or self.complete:
             self.drop_unasked()
             return
-        if self.head is not None and not self.head.done():
+        if self.head_ready:
+            self.framing_bytes += len(data)
+        else:
             self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -169,6 +179,8 @@
             self.fail(f"not an HTTP answer: {error}")
         if self.head_bytes > MAX_HEAD_BYTES and not self.head_ready:
             self.fail("the head of the answer is too long")
+        if self.framing_bytes > MAX_FRAMING_BYTES:
+            self.fail("a chunk header or the trailers of the answer are too long")
         if self.buffered >= MAX_BUFFERED_BYTES and self.transport is not None:
             self.transport.pause_reading()
 
@@ -247,6 +259,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body."""
+        self.framing_bytes = 0
         if self.dropping or self.complete:
             return
         self.chunks.append(body)
--- a/testing/gateway/test_stray_responses.py
+++ b/testing/gateway/test_stray_responses.py
@@ -193,3 +193,32 @@
     async with asyncio.timeout(3):
         while any(instance.running for instance in world.instances.values()):
             await asyncio.sleep(0.01)
+
+
+@pytest.mark.parametrize(
+    "piece", [b"x" * 48_000, b"A: b\r\n" * 8_000], ids=["one", "many"]
+)
+async def test_trailers_without_end_move_a_safe_request_to_another_instance(
+    world, piece
+):
+    """Guards against an entry that is killed over its memory with orders in flight."""
+    flooded = []
+
+    async def act(instance, request, writer):
+        if flooded:
+            await answer_well(instance, request, writer)
+            return
+        flooded.append(instance)
+        head = instance.head(request, 200, None, "Transfer-Encoding: chunked")
+        writer.write(head + b"3\r\nabc\r\n0\r\nB: ")
+        while True:
+            writer.write(piece)
+            await writer.drain()
+
+    set_all_actions(world, act)
+    started_at = time.monotonic()
+    response = await world.send("/s/a")
+    assert response.status == 200
+    assert response.body.endswith(b"/s/a")
+    assert time.monotonic() - started_at < 1.0
+    await wait_until_cancelled(world)
--- a/testing/soak/test_answers.py
+++ b/testing/soak/test_answers.py
@@ -81,7 +81,9 @@
     assert caller.received.index(b"Not-Executed") < caller.received.index(b"two")
 
 
-@pytest.mark.parametrize("fault", ["endless head", "endless body", "endless garbage"])
+@pytest.mark.parametrize(
+    "fault", ["endless head", "endless body", "endless trailer", "endless garbage"]
+)
 async def test_endless_answer_goes_on_until_the_caller_closes(caller, fault):
     caller.ask("one", fault)
     async with asyncio.timeout(WAIT_S):
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -11,6 +11,7 @@
 import pytest
 
 from masticdeck.transport.http1_client import (
+    MAX_FRAMING_BYTES,
     ExchangeBroken,
     InstanceConnection,
     connect,
@@ -149,3 +150,62 @@
     interim = b"HTTP/1.1 103 Early Hints\r\n\r\n"
     _, body = await ask(instance, lambda raw: raw.sendall(interim + WHOLE))
     assert body == b"first"
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(b"0\r\nA: ", b"x" * 48_000, id="one trailer"),
+        pytest.param(b"0\r\n", b"A: b\r\n" * 8_000, id="many trailers"),
+        pytest.param(b"5;a=", b"x" * 48_000, id="chunk extension"),
+    ],
+)
+async def test_framing_without_end_breaks_the_exchange_within_a_bound(
+    instance, start, piece
+):
+    """Guards against a process that runs out of memory over an endless trailer."""
+    connection = await connect("127.0.0.1", instance.port, timeout_s=2)
+    connection.begin(REQUEST, bodyless=False, accepts=lambda *_: True)
+    raw = await asyncio.to_thread(instance.accept)
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n"
+    connection.data_received(head + start)
+    accepted_bytes = 0
+    while not connection.closed and accepted_bytes < 100 * MAX_FRAMING_BYTES:
+        connection.data_received(piece)
+        accepted_bytes += len(piece)
+    assert accepted_bytes <= MAX_FRAMING_BYTES + len(piece)
+    assert await connection.read_chunk() == b"abc"
+    with pytest.raises(ExchangeBroken, match="trailer"):
+        await connection.read_chunk()
+    raw.close()
+
+
+async def test_short_chunks_and_trailers_do_not_exhaust_the_bound(instance):
+    """The bound applies between two parts of a body, not to the whole answer."""
+    chunk = b"1;extension=" + b"x" * 50 + b"\r\na\r\n"
+    count = 2 * MAX_FRAMING_BYTES // len(chunk)
+
+    def act(raw: socket.socket) -> None:
+        raw.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        raw.sendall(chunk * count + b"0\r\nA: b\r\n\r\n")
+
+    connection, body = await ask(instance, act)
+    assert body == b"a" * count
+    assert connection.finish()
+    connection.close()
+
+
+async def test_switch_of_the_protocol_breaks_the_exchange(instance):
+    """No protocol is offered to an instance, so that none may be switched to."""
+    switch = (
+        b"HTTP/1.1 101 Switching\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n"
+        b"Content-Length: 5\r\n\r\nfirst"
+    )
+    with pytest.raises(ExchangeBroken):
+        await ask(instance, lambda raw: raw.sendall(switch))
+
+
+async def test_offer_of_a_protocol_in_an_answer_does_not_end_its_body(instance):
+    offer = WHOLE.replace(b"\r\n", b"\r\nConnection: Upgrade\r\nUpgrade: h2c\r\n", 1)
+    _, body = await ask(instance, lambda raw: raw.sendall(offer))
+    assert body == b"first"
