Bound chunk headers and trailers of a caller's request

Change: 431 after max_header_bytes of framing between two parts of a body or after the last one. The parts of a rejected body are given back at once; they were kept until the connection closed.

Red before: test_framing_without_end_is_rejected_within_a_bound, 3 cases.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -11,6 +11,23 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a faulty caller harms no other request",
+        mechanism="chunk headers and trailers of a request are bounded",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="        if self.framing_bytes > self.limits.max_header_bytes:",
+        new="        if False:",
+        test="testing/transport/test_http1_server.py"
+        "::test_framing_without_end_is_rejected_within_a_bound",
+    ),
+    Mutant(
+        promise="an entry lives on whatever the store answers",
+        mechanism="an answer of the store is bounded",
+        file=f"{SOURCE}/protocol/store.py",
+        old="        if size > MAX_ANSWER_BYTES:",
+        new="        if False:",
+        test="testing/protocol/test_store.py::test_answer_without_end_is_not_collected",
+    ),
     Mutant(
         promise="a faulty instance harms no other request",
         mechanism="chunk headers and trailers of an answer are bounded",
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -89,6 +89,7 @@
         self.body_bytes = 0
         self.held_bytes = 0
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.head_done = False
         self.waiting: deque[InboundRequest] = deque()
         self.worker: asyncio.Task[None] | None = None
@@ -118,7 +119,9 @@
         if self.discarding:
             return
         self.active_at = boottime()
-        if not self.head_done:
+        if self.head_done:
+            self.framing_bytes += len(data)
+        else:
             self.head_bytes += len(data)
         try:
             self.parser.feed_data(data)
@@ -129,6 +132,9 @@
         long_head = self.head_bytes > self.limits.max_header_bytes
         if long_head and not self.head_done and self.reading is not None:
             self.reject(431)
+        # Chunk headers and trailers between two parts of a body, or after the last.
+        if self.framing_bytes > self.limits.max_header_bytes:
+            self.reject(431)
         if len(self.waiting) >= MAX_READ_AHEAD and self.transport is not None:
             self.transport.pause_reading()
 
@@ -197,6 +203,7 @@
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body, up to the limit."""
+        self.framing_bytes = 0
         if self.reading is None:
             return
         self.body_bytes += len(body)
@@ -214,6 +221,7 @@
         """Queue the request for its turn."""
         request, self.reading = self.reading, None
         self.head_bytes = 0
+        self.framing_bytes = 0
         self.head_done = False
         if request is None:
             return
@@ -240,6 +248,8 @@
         """Answer with an error in turn, and read no further requests."""
         request = self.reading or InboundRequest(self, received_at=boottime())
         self.reading = None
+        self.let_go(sum(map(len, self.parts)))
+        self.parts = []
         self.discarding = True
         request.reject_status = status
         self.queue(request)
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -20,18 +20,21 @@
 )
 
 REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+CHUNKED_REQUEST = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
 WAIT_S = 5.0
 PAUSE_S = MAX_TICK_DELAY_S + 0.7
 
 
 class Handler:
-    """Answers every request and records how old it was."""
+    """Answers every request and records its body and how old it was."""
 
     def __init__(self) -> None:
         self.ages_s: list[float] = []
+        self.bodies: list[bytes] = []
 
     async def __call__(self, request: InboundRequest) -> None:
         self.ages_s.append(boottime() - request.received_at)
+        self.bodies.append(request.body)
         request.connection.send_whole(200, [], b"")
 
 
@@ -150,3 +153,39 @@
         while server.connections:
             await asyncio.sleep(0.01)
     assert not handler.ages_s
+
+
+@pytest.mark.parametrize(
+    ("start", "piece"),
+    [
+        pytest.param(b"0\r\nA: ", b"x" * 48_000, id="one trailer"),
+        pytest.param(b"0\r\n", b"A: b\r\n" * 8_000, id="many trailers"),
+        pytest.param(b"5;a=", b"x" * 48_000, id="chunk extension"),
+    ],
+)
+async def test_framing_without_end_is_rejected_within_a_bound(
+    caller, server, handler, start, piece
+):
+    """Guards against a process that runs out of memory over an endless trailer."""
+    [connection] = server.connections
+    connection.data_received(CHUNKED_REQUEST + b"3\r\nabc\r\n" + start)
+    accepted_bytes = 0
+    most_bytes = 100 * server.limits().max_header_bytes
+    while not connection.discarding and accepted_bytes < most_bytes:
+        connection.data_received(piece)
+        accepted_bytes += len(piece)
+    assert accepted_bytes <= server.limits().max_header_bytes + len(piece)
+    assert (await receive(caller)).startswith(b"HTTP/1.1 431")
+    assert not handler.ages_s
+    assert not server.body_bytes
+
+
+async def test_short_chunks_and_trailers_do_not_exhaust_the_bound(
+    caller, server, handler
+):
+    """The bound applies between two parts of a body, not to the whole request."""
+    chunk = b"1;extension=" + b"x" * 50 + b"\r\na\r\n"
+    count = 2 * server.limits().max_header_bytes // len(chunk)
+    caller.send(CHUNKED_REQUEST + chunk * count + b"0\r\nA: b\r\n\r\n")
+    assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+    assert handler.bodies == [b"a" * count]
