Bound the answers of the store

Change: an answer over 16 MB counts as lost, as the call may have taken effect, and its connection closes. A page of the store has about 1 MB.

Red before: test_answer_without_end_is_not_collected, in both test modules.

--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -28,6 +28,7 @@
     LeaseId,
     Listing,
     decode_item,
+    read_bounded,
 )
 
 CALL_TIMEOUT_S = 1.5
@@ -177,7 +178,7 @@
             async with self.session.request(
                 method, f"{self.url}/{name}", params=query, json=body, timeout=timeout
             ) as response:
-                status, content = response.status, await response.read()
+                status, content = response.status, await read_bounded(response)
             fields = decode_fields(status, content)
         except (TimeoutError, ClientError, OSError) as error:
             raise self.lost(f"{kind}: {type(error).__name__}") from error
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Any, NewType, Protocol, final
 
-from aiohttp import ClientError, ClientSession, ClientTimeout
+from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
 from masticdeck.errors import (
     MasticdeckError,
@@ -31,6 +31,9 @@
 CALL_TIMEOUT_S = 2.0
 MAX_VALUE_BYTES = 1_048_576
 
+MAX_ANSWER_BYTES = 16_777_216
+"""Largest answer of the store that is read; a page has about a megabyte."""
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -237,11 +240,26 @@
         timeout = ClientTimeout(total=timeout_s)
         try:
             async with self.session.post(url, json=body, timeout=timeout) as response:
-                return response.status, await response.text()
+                return response.status, (await read_bounded(response)).decode()
         except (TimeoutError, ClientError, OSError, UnicodeDecodeError) as error:
             raise StoreUnavailable(f"{method}: {type(error).__name__}") from error
 
 
+async def read_bounded(response: ClientResponse) -> bytes:
+    """Return the body of an answer, or raise StoreUnavailable when it is too long.
+
+    The rest is not read, and the connection closes.
+    """
+    parts: list[bytes] = []
+    size = 0
+    async for part in response.content.iter_any():
+        size += len(part)
+        if size > MAX_ANSWER_BYTES:
+            raise StoreUnavailable(f"an answer of over {MAX_ANSWER_BYTES} bytes")
+        parts.append(part)
+    return b"".join(parts)
+
+
 def decode_answer(method: str, status: int, text: str) -> Any:
     """Return an answer's fields, or raise the error that it stands for."""
     if status == StoreConflict.status:
--- a/testing/platform/standin_store.py
+++ b/testing/platform/standin_store.py
@@ -3,7 +3,8 @@
 Faults are switched on by attributes: ``refuse_with`` answers every call with a
 status, ``lose_answers`` acts and then breaks the connection, ``delay_s`` makes
 answers slow, ``silent`` never answers, ``fixed_answers`` has the bytes that answer
-a call, or every call under ``*``, ``compact`` drops the history, ``stale_lags`` has how
+a call, or every call under ``*``, ``endless`` writes blanks before each answer until
+the caller closes, ``compact`` drops the history, ``stale_lags`` has how
 many revisions each stale page lags behind.
 """
 
@@ -22,6 +23,7 @@
 
 PAGE_ITEMS = 3
 EXPIRY_CHECK_S = 0.05
+BLANKS = b" " * 65_536
 
 
 @dataclass
@@ -47,6 +49,8 @@
         self.refuse_with: int | None = None
         self.fixed_answers: dict[str, bytes] = {}
         self.lose_answers = False
+        self.endless = False
+        self.endless_bytes = 0
         self.silent = False
         self.stale_lags: Iterator[int] = itertools.repeat(0)
         self.delay_s = 0.0
@@ -126,6 +130,8 @@
         answer = self.fixed_answers.get(self.calls[-1], self.fixed_answers.get("*"))
         if answer is not None:
             return web.Response(body=answer, content_type="application/json")
+        if self.endless:
+            return await self.write_blanks(request)
         if self.silent:
             await asyncio.sleep(3600)
         await asyncio.sleep(self.delay_s)
@@ -134,6 +140,14 @@
             request.transport.abort()
         return response
 
+    async def write_blanks(self, request: web.Request) -> web.StreamResponse:
+        """Answer with white space until the caller closes; count it."""
+        response = web.StreamResponse()
+        await response.prepare(request)
+        while True:
+            await response.write(BLANKS)
+            self.endless_bytes += len(BLANKS)
+
     async def answer_key(self, request: web.Request) -> web.Response:
         """Answer with one item."""
         item = self.items.get(request.query["key"])
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -15,6 +15,7 @@
 from masticdeck.events import Code
 from masticdeck.ids import Revision
 from masticdeck.platform import store as store_module
+from masticdeck.protocol import store as store_protocol
 from masticdeck.protocol.store import ABSENT
 
 
@@ -183,3 +184,14 @@
     standin.fixed_answers["*"] = answer
     with pytest.raises(StoreAnswerInvalid):
         await call(store)
+
+
+async def test_answer_without_end_is_not_collected(store, standin, monkeypatch):
+    """Guards against a process that runs out of memory over an answer of the store."""
+    monkeypatch.setattr(store_protocol, "MAX_ANSWER_BYTES", 1_000_000)
+    standin.endless = True
+    with pytest.raises(StoreUnavailable, match="1000000 bytes"):
+        await store.list("")
+    assert standin.endless_bytes < 20_000_000
+    standin.endless = False
+    assert not (await store.list("")).items
--- a/testing/protocol/test_store.py
+++ b/testing/protocol/test_store.py
@@ -19,6 +19,7 @@
 )
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Revision
+from masticdeck.protocol import store as store_protocol
 from masticdeck.protocol.store import ABSENT, HttpStore
 
 
@@ -98,3 +99,11 @@
     assert store.events is not None
     codes = [event.code for event in store.events.ring]
     assert codes == [Code.STORE_UNAVAILABLE, Code.STORE_AVAILABLE]
+
+
+async def test_answer_without_end_is_not_collected(store: HttpStore, monkeypatch):
+    """Guards against a process that runs out of memory over an answer of the store."""
+    await store.put("a", b"x" * 2_000)
+    monkeypatch.setattr(store_protocol, "MAX_ANSWER_BYTES", 1_000)
+    with pytest.raises(StoreUnavailable, match="1000 bytes"):
+        await store.get("a")
