Ignore a caller's offer of another protocol

Cause: for a request with Upgrade the parser reports the end of the message after the head, without its body, and then raises HttpParserUpgrade. The request was queued by then, a rejection was queued behind it, and the rest was dropped.

Change: a message with an offer is not complete at its head. A new parser reads the head again without Upgrade, then what followed. Limits and 100 Continue apply at the second reading only. CONNECT gets one 400 and nothing else.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -11,6 +11,25 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a request runs as its caller sent it",
+        mechanism="a message with an offer of a protocol goes on after its head",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old='        """Queue the request for its turn."""\n'
+        "        if self.parser.should_upgrade():\n            return\n",
+        new='        """Queue the request for its turn."""\n',
+        test="testing/transport/test_http1_server.py"
+        "::TestUpgradeOffers::test_request_is_read_whole_and_answered_once",
+    ),
+    Mutant(
+        promise="a request runs as its caller sent it",
+        mechanism="what follows a head with an offer is read",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="                data = self.head_without_offer() + data[head_end:]",
+        new="                data = self.head_without_offer()",
+        test="testing/transport/test_http1_server.py"
+        "::TestUpgradeOffers::test_request_is_read_whole_and_answered_once",
+    ),
     Mutant(
         promise="a faulty caller harms no other request",
         mechanism="chunk headers and trailers of a request are bounded",
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -124,9 +124,7 @@
         else:
             self.head_bytes += len(data)
         try:
-            self.parser.feed_data(data)
-        except httptools.HttpParserUpgrade:
-            self.reject(400)
+            self.parse(data)
         except (httptools.HttpParserError, httptools.HttpParserCallbackError):
             self.reject(400)
         long_head = self.head_bytes > self.limits.max_header_bytes
@@ -138,6 +136,33 @@
         if len(self.waiting) >= MAX_READ_AHEAD and self.transport is not None:
             self.transport.pause_reading()
 
+    def parse(self, data: bytes) -> None:
+        """Feed the parser, and ignore offers of another protocol."""
+        while not self.discarding:
+            try:
+                self.parser.feed_data(data)
+                return
+            except httptools.HttpParserUpgrade as offer:
+                [head_end] = offer.args
+                data = self.head_without_offer() + data[head_end:]
+
+    def head_without_offer(self) -> bytes:
+        """Return the head that was just read, without its offer of a protocol.
+
+        The parser ends a message with an offer at its head, and would take the body
+        for bytes of the new protocol. A new parser reads the head again.
+        """
+        request = self.reading
+        if request is None or request.method == b"CONNECT":
+            self.reject(400)
+            return b""
+        version = self.parser.get_http_version().encode()
+        self.parser = httptools.HttpRequestParser(self)
+        return render_head(
+            request.method + b" " + request.target + b" HTTP/" + version,
+            [field for field in request.headers if field[0].lower() != b"upgrade"],
+        )
+
     def eof_received(self) -> bool:
         """Treat a closed sending side as the caller's leaving."""
         return False
@@ -163,9 +188,13 @@
     # httptools callbacks
 
     def on_message_begin(self) -> None:
-        """Start a request."""
-        self.reading = InboundRequest(self, received_at=self.server.arrival_time())
-        self.reading_since = boottime()
+        """Start a request, or one whose head is read again."""
+        if self.reading is None:
+            received_at = self.server.arrival_time()
+            self.reading_since = boottime()
+        else:
+            received_at = self.reading.received_at
+        self.reading = InboundRequest(self, received_at=received_at)
         self.parts = []
         self.body_bytes = 0
         self.head_done = False
@@ -187,6 +216,8 @@
             return
         self.head_done = True
         request.method = self.parser.get_method()
+        if self.parser.should_upgrade():
+            return
         request.keep_alive = self.parser.should_keep_alive()
         size = len(request.target) + sum(
             len(name) + len(value) + 4 for name, value in request.headers
@@ -219,6 +250,8 @@
 
     def on_message_complete(self) -> None:
         """Queue the request for its turn."""
+        if self.parser.should_upgrade():
+            return
         request, self.reading = self.reading, None
         self.head_bytes = 0
         self.framing_bytes = 0
--- a/testing/entry/test_forward.py
+++ b/testing/entry/test_forward.py
@@ -114,6 +114,18 @@
     assert sum(one["ran"] for one in stats.values()) == 1
 
 
+@pytest.mark.parametrize("protocol", ["h2c", "websocket"])
+async def test_offer_of_a_protocol_does_not_take_the_body(fleet, protocol):
+    """Guards against a request that runs without its body."""
+    raw = (
+        f"POST /service/{SERVICE}/a HTTP/1.1\r\nHost: x\r\nConnection: Upgrade\r\n"
+        f"Upgrade: {protocol}\r\nContent-Length: 5\r\n\r\norder"
+    )
+    status, _, body = await exchange(fleet, raw.encode())
+    assert status == 200
+    assert json.loads(body)["digest"] == hashlib.sha256(b"order").hexdigest()
+
+
 async def test_head_request_keeps_the_length(fleet):
     url = f"{fleet.entry_url('entry-1')}/service/{SERVICE}/a"
     async with fleet.session.head(url) as response:
--- a/testing/gateway/test_forward.py
+++ b/testing/gateway/test_forward.py
@@ -414,3 +414,21 @@
         instance.id for instance in world.instances.values() if instance.requests
     }
     assert events.count(Code.LOAD_REPORT_INVALID) == len(reporting)
+
+
+async def test_request_that_offers_a_protocol_arrives_whole_and_without_the_offer(
+    world,
+):
+    """Guards against an order that runs without its body and is answered twice."""
+    offer = "Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\nHTTP2-Settings: AA"
+    reader, writer = await world.connect()
+    for _ in range(2):
+        writer.write(
+            world.request_bytes("/u/a", method="POST", body=b"order", extra=offer)
+        )
+        async with asyncio.timeout(5):
+            assert (await read_response(reader)).status == 200
+    writer.close()
+    first, second = received_requests(world)
+    assert first.body == second.body == b"order"
+    assert not {"upgrade", "http2-settings"} & set(first.headers)
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -189,3 +189,78 @@
     caller.send(CHUNKED_REQUEST + chunk * count + b"0\r\nA: b\r\n\r\n")
     assert (await receive(caller)).startswith(b"HTTP/1.1 200")
     assert handler.bodies == [b"a" * count]
+
+
+class TestUpgradeOffers:
+    """An offer of another protocol is ignored, as RFC 9110 section 7.8 allows.
+
+    They guard against a request that runs without its body, and against an answer for
+    which no request waits.
+    """
+
+    OFFER = b"Connection: Upgrade, HTTP2-Settings\r\nUpgrade: h2c\r\n"
+    CHUNKS = b"2\r\nbo\r\n2\r\ndy\r\n0\r\n\r\n"
+
+    def request(self, body: bytes, *fields: bytes, method: bytes = b"POST") -> bytes:
+        head = b"%b /a HTTP/1.1\r\nHost: a\r\n%b" % (method, self.OFFER)
+        return head + b"".join(one + b"\r\n" for one in fields) + b"\r\n" + body
+
+    @pytest.mark.parametrize("step", [1, 7, 10_000])
+    @pytest.mark.parametrize(
+        ("fields", "sent", "body"),
+        [
+            pytest.param([b"Content-Length: 4"], b"body", b"body", id="length"),
+            pytest.param([b"Transfer-Encoding: chunked"], CHUNKS, b"body", id="chunks"),
+            pytest.param([], b"", b"", id="no body"),
+        ],
+    )
+    async def test_request_is_read_whole_and_answered_once(
+        self, caller, server, handler, fields, sent, body, step
+    ):
+        [connection] = server.connections
+        data = self.request(sent, *fields) + REQUEST + self.request(sent, *fields)
+        for start in range(0, len(data), step):
+            connection.data_received(data[start : start + step])
+        answers = b""
+        while answers.count(b"HTTP/1.1 200") < 3:
+            part = await receive(caller)
+            assert part, f"the connection ended after {answers!r}"
+            answers += part
+        assert answers.count(b"HTTP/1.1") == 3
+        assert handler.bodies == [body, b"", body]
+        assert not server.body_bytes
+
+    async def test_body_over_the_limit_is_rejected(self, caller, server, handler):
+        length = server.limits().max_body_bytes + 1
+        caller.send(self.request(b"", b"Content-Length: %d" % length))
+        assert (await receive(caller)).startswith(b"HTTP/1.1 413")
+        assert not handler.bodies
+
+    async def test_body_is_asked_for_once(self, caller, handler):
+        caller.send(self.request(b"", b"Expect: 100-continue", b"Content-Length: 4"))
+        assert await receive(caller) == b"HTTP/1.1 100 Continue\r\n\r\n"
+        caller.send(b"body")
+        assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+        assert handler.bodies == [b"body"]
+
+    async def test_request_counts_from_its_first_byte(self, caller, server, handler):
+        [connection] = server.connections
+        data = self.request(b"body", b"Content-Length: 4")
+        connection.data_received(data[:20])
+        await asyncio.sleep(0.2)
+        connection.data_received(data[20:])
+        assert await receive(caller)
+        assert handler.ages_s[0] >= 0.2
+
+    async def test_ambiguous_length_is_rejected(self, caller, handler):
+        fields = b"Content-Length: 4", b"Transfer-Encoding: chunked"
+        caller.send(self.request(self.CHUNKS, *fields))
+        assert (await receive(caller)).startswith(b"HTTP/1.1 400")
+        assert not handler.bodies
+
+    async def test_tunnel_is_rejected_without_running(self, caller, handler):
+        caller.send(b"CONNECT a:1 HTTP/1.1\r\nHost: a\r\n\r\nbytes of the tunnel")
+        answer = await receive(caller)
+        assert answer.startswith(b"HTTP/1.1 400")
+        assert answer.count(b"HTTP/1.1") == 1
+        assert not handler.bodies
