Refuse requests that may outlast a planned stop

Cause: a response that began before the stop cannot announce the close, and the next request on its connection was passed on although nothing ensured that it would end before the kill. Its events: entry_leaving, request_sent, no end, entry_finished in_flight=1. A request that still waited for a slot at the end got no response either.

Change: ShutdownWindow holds the end of a stop. A request is sent only if its caller's deadline passes before, or if it came while connections were accepted and twice its expected run fits. Others get 503 at once with Retry-After 0 and Connection: close; waiting ones are judged again at SIGTERM and until the end.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -11,6 +11,43 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="late requests that may outlast a stop are refused",
+        file=f"{SOURCE}/coordination/shutdown_window.py",
+        old="            return -math.inf",
+        new="            return math.inf",
+        test="testing/gateway/test_stop.py"
+        "::test_late_request_on_a_kept_connection_is_refused_at_once",
+    ),
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="requests that wait during a stop are refused before its end",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="            waiter.set_exception(NoCapacity())",
+        new="            pass",
+        test="testing/coordination/test_shutdown_window.py"
+        "::test_waiting_request_is_rejected_when_a_stop_leaves_it_no_time",
+    ),
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="a stopping entry uses no queue of an instance",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="or not self.shutdown_window.covers(\n            request.caller_deadline"
+        "\n        )",
+        new="",
+        test="testing/gateway/test_stop.py"
+        "::test_request_that_waits_for_a_slot_is_refused_before_the_end",
+    ),
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="masticdeck-entry refuses late requests as well",
+        file=f"{SOURCE}/entry/forward.py",
+        old="        if now > latest_start:",
+        new="        if False:",
+        test="testing/coordination/test_leaving.py"
+        "::test_late_request_that_may_outlast_the_stop_is_refused",
+    ),
     Mutant(
         promise="a request runs as its caller sent it",
         mechanism="a message with an offer of a protocol goes on after its head",
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -16,6 +16,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import final
@@ -25,6 +26,7 @@
 from masticdeck.coordination.instance_load import InstanceLoad, InstanceLoads
 from masticdeck.coordination.placement import Placement
 from masticdeck.coordination.run_times import RunTimes
+from masticdeck.coordination.shutdown_window import ShutdownWindow
 from masticdeck.ids import InstanceId, ServiceId
 from masticdeck.state.fleet import Fleet, FleetInstance
 from masticdeck.state.routes import Route
@@ -77,8 +79,9 @@
 
     ``tried_instances`` have already failed to serve it. ``soft_deadline`` is the
     boot time by which a response is wanted; after the boot time ``deadline`` a
-    response is of no use. ``expected_run_s`` is the shortest expected run time at
-    its instances.
+    response is of no use. ``received_at`` and ``caller_deadline`` are the boot times
+    at which the request arrived and at which its caller leaves. ``expected_run_s`` is
+    the shortest expected run time at its instances.
     """
 
     route: Route
@@ -86,6 +89,8 @@
     key: str | None
     soft_deadline: float
     deadline: float
+    received_at: float = -math.inf
+    caller_deadline: float = math.inf
     expected_run_s: float = 0.0
     tried_instances: set[InstanceId] = field(default_factory=set)
     waiter: asyncio.Future[FleetInstance] | None = None
@@ -129,6 +134,7 @@
         health: Health,
         *,
         entry_count: Callable[[], int],
+        shutdown_window: ShutdownWindow | None = None,
     ) -> None:
         self.fleet = fleet
         self.placement = placement
@@ -136,6 +142,7 @@
         self.run_times = run_times
         self.health = health
         self.entry_count = entry_count
+        self.shutdown_window = shutdown_window or ShutdownWindow()
         self.queues: dict[ServiceId, list[PendingRequest]] = {}
         self.recheck_task: asyncio.Task[None] | None = None
 
@@ -143,7 +150,8 @@
         """Return an instance on which a slot is acquired for the request.
 
         Raises NoCapacity at boot time ``until``, or earlier when the request could
-        no longer finish in time, and NoInstance when no instance may serve it.
+        no longer finish in time, also because the entry is stopping, and NoInstance
+        when no instance may serve it.
         """
         if not self.has_more_urgent_waiter(request):
             instance = self.try_acquire(request)
@@ -155,7 +163,9 @@
         request.expected_run_s = min(
             self.expected_s(request, instance) for instance in candidates
         )
-        latest_start = request.deadline - request.expected_run_s
+        latest_start = max(
+            self.latest_start(request, instance) for instance in candidates
+        )
         return await self.wait_for_slot(request, min(until, latest_start))
 
     def has_more_urgent_waiter(self, request: PendingRequest) -> bool:
@@ -182,7 +192,7 @@
                 return request.waiter.result()
             raise NoCapacity from None
         except asyncio.CancelledError:
-            if request.waiter.done() and not request.waiter.cancelled():
+            if has_result(request.waiter):
                 self.release(self.loads.get(request.waiter.result()))
             raise
         finally:
@@ -193,9 +203,12 @@
         """Return the least loaded instance whose own queue is short, or None.
 
         The queue of an instance is served in order of arrival, so it is not used
-        while a more urgent request waits here.
+        while a more urgent request waits here, nor for a request that has to end
+        before a stop of the entry but may not do so.
         """
-        if self.has_more_urgent_waiter(request):
+        if self.has_more_urgent_waiter(request) or not self.shutdown_window.covers(
+            request.caller_deadline
+        ):
             return None
         now = boottime()
         candidates = [
@@ -231,8 +244,20 @@
         )
 
     def latest_start(self, request: PendingRequest, instance: FleetInstance) -> float:
-        """Return the latest boot time to start a run that ends by the deadline."""
-        return request.deadline - self.expected_s(request, instance)
+        """Return the latest boot time to start a run that ends in time.
+
+        It has to end by the deadline of the request, and before a stop of the entry.
+        """
+        expected_s = self.expected_s(request, instance)
+        return min(
+            request.deadline - expected_s,
+            self.shutdown_window.latest_start(
+                received_at=request.received_at,
+                deadline=request.caller_deadline,
+                objective_s=request.route.objective_s,
+                expected_run_s=expected_s,
+            ),
+        )
 
     def expected_queue_s(
         self, request: PendingRequest, instance: FleetInstance, now: float
@@ -259,12 +284,32 @@
                 if instance is not None:
                     waiter.set_result(instance)
 
+    def reject_late_requests(self) -> None:
+        """Reject waiting requests that would not end before a stop of the entry."""
+        now = boottime()
+        for queue in self.queues.values():
+            for request in queue:
+                self.reject_if_late(request, now)
+
+    def reject_if_late(self, request: PendingRequest, now: float) -> None:
+        """End a request's wait if no instance could serve it in time any more."""
+        waiter = request.waiter
+        if waiter is None or waiter.done():
+            return
+        if all(
+            now > self.latest_start(request, instance)
+            for instance in self.candidates(request)
+        ):
+            waiter.set_exception(NoCapacity())
+
     async def recheck_periodically(self) -> None:
         """Serve the queues at intervals, as load reports become outdated."""
         try:
             while any(self.queues.values()):
                 await asyncio.sleep(RECHECK_INTERVAL_S)
                 self.serve_queues()
+                if self.shutdown_window.has_begun:
+                    self.reject_late_requests()
         finally:
             self.recheck_task = None
 
@@ -422,3 +467,8 @@
         service = None if routes is None else routes.services.get(instance.service)
         rate = 1.0 if service is None else service.cold_requests_per_s
         return rate / max(1, self.entry_count())
+
+
+def has_result(waiter: asyncio.Future[FleetInstance]) -> bool:
+    """Return whether a waiting request was given an instance."""
+    return waiter.done() and not waiter.cancelled() and waiter.exception() is None
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -22,6 +22,7 @@
 from masticdeck.coordination.retries import SharedRetryBudget
 from masticdeck.coordination.round_trips import RoundTripMeter
 from masticdeck.coordination.run_times import RunTimes
+from masticdeck.coordination.shutdown_window import ShutdownWindow
 from masticdeck.coordination.watcher_selector import WatcherSelector
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.directory import Directory
@@ -53,6 +54,9 @@
 STOP_POLL_S = 0.05
 """Seconds between checks for requests in flight during a stop."""
 
+RESPONSE_MARGIN_S = 0.1
+"""Time before the end of that wait by which the last responses are due."""
+
 RequestHandler = Callable[[InboundRequest], Awaitable[None]]
 
 
@@ -134,6 +138,7 @@
         )
         self.placement = Placement(self.fleet, zone=settings.zone)
         self.round_trip_meter = RoundTripMeter(self.fleet, self.placement, events)
+        self.shutdown_window = ShutdownWindow()
         self.dispatcher = Dispatcher(
             self.fleet,
             self.placement,
@@ -141,6 +146,7 @@
             self.run_times,
             self.health,
             entry_count=self.count_entries,
+            shutdown_window=self.shutdown_window,
         )
         self.forwarder = Forwarder(
             fleet=self.fleet,
@@ -204,15 +210,23 @@
         self.events.emit(Code.SETTINGS_RELOADED, changed=",".join(changed_names))
 
     async def leave(self) -> None:
-        """Leave the directory and wait for callers and requests before a stop."""
+        """Leave the directory and wait for callers and requests before a stop.
+
+        Requests that would not be answered before the kill are rejected meanwhile.
+        """
         started_at = boottime()
+        wait_deadline = started_at + self.settings.stop_grace_s - EXIT_MARGIN_S
         self.directory.leaving = True
+        self.shutdown_window.begin(
+            accept_until=started_at + ACCEPT_AFTER_STOP_S,
+            end_at=wait_deadline - RESPONSE_MARGIN_S,
+        )
+        self.dispatcher.reject_late_requests()
         self.events.emit(Code.ENTRY_LEAVING, in_flight=self.caller_server.in_flight)
         unregister_task = asyncio.create_task(self.entry_registration.unregister())
         self.caller_server.begin_close()
         await asyncio.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (boottime() - started_at)))
         self.caller_server.stop_listening()
-        wait_deadline = started_at + self.settings.stop_grace_s - EXIT_MARGIN_S
         while self.caller_server.in_flight and boottime() < wait_deadline:
             await asyncio.sleep(STOP_POLL_S)
         # No request is read between the last check and the end of the process.
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -67,6 +67,8 @@
             key=self.request_headers.affinity,
             soft_deadline=request.received_at + self.route.objective_s,
             deadline=self.deadline,
+            received_at=request.received_at,
+            caller_deadline=self.caller_deadline,
         )
         self.queue_until = queue_deadline(request.received_at, self.deadline)
         self.attempt_count = 0
@@ -234,14 +236,13 @@
             self.send_response(self.fallback_response)
             return
         if all(status.proves_not_run for status in self.failed_statuses):
-            reason = (
-                self.failed_statuses[-1].value if self.failed_statuses else "no room"
-            )
+            reason = self.describe_refusal()
             shortage = self.forwarder.dispatcher.describe_shortage(self.pending_request)
             self.forwarder.reject_unavailable(
                 self.request,
                 self.request_headers.id,
                 reason=reason,
+                retry_after_s=self.forwarder.retry_after_s(),
                 route=self.pending_request.route.id,
                 service=self.pending_request.service,
                 key=self.request_headers.affinity or "",
@@ -261,6 +262,12 @@
         self.forwarder.send_empty_response(self.request, status_code)
         self.record_outcome("unknown")
 
+    def describe_refusal(self) -> str:
+        """Return why the request is refused, for its log line."""
+        if self.failed_statuses:
+            return self.failed_statuses[-1].value
+        return "entry stopping" if self.forwarder.is_leaving() else "no room"
+
     # Events and metrics
 
     def record_outcome(self, outcome: str) -> None:
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -38,6 +38,9 @@
 MAX_CONFIGURATION_WAIT_FRACTION = 0.25
 """Longest wait for the first configuration, as a fraction of the caller's time."""
 
+STOPPING_RETRY_S = 0.0
+"""``Retry-After`` of a stopping entry: the other entries can respond at once."""
+
 NO_CONFIGURATION_RETRY_S = 0.5
 """``Retry-After`` while this entry has no configuration."""
 
@@ -97,6 +100,10 @@
         """Return the seconds since the records were last confirmed as current."""
         return self.replica.age_s(boottime())
 
+    def retry_after_s(self) -> float:
+        """Return the time after which a rejected caller may retry, in seconds."""
+        return STOPPING_RETRY_S if self.is_leaving() else RETRY_AFTER_S
+
     async def handle(self, request: InboundRequest) -> None:
         """Respond to one request."""
         exchange: Exchange | None = None
