--- a/src/masticdeck/coordination/graceful_shutdown.py
+++ b/src/masticdeck/coordination/graceful_shutdown.py
@@ -17,6 +17,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.membership import Membership
 from masticdeck.coordination.orders import Orders
+from masticdeck.coordination.shutdown_window import ShutdownWindow
 from masticdeck.events import Code
 from masticdeck.node import Node
 
@@ -38,10 +39,14 @@
 
 
 class RequestForwarder(Protocol):
-    """The component that forwards requests; ``in_flight`` is their number."""
+    """The component that forwards requests; ``in_flight`` is their number.
+
+    It refuses requests that ``shutdown_window`` leaves no time for.
+    """
 
     leaving: bool
     in_flight: int
+    shutdown_window: ShutdownWindow
 
 
 class GracefulShutdown:
@@ -68,10 +73,14 @@
         token_search = asyncio.create_task(self.orders.leave())
         config = self.node.config
         propagation_s = PROPAGATION_HEARTBEATS * config.heartbeat_s
-        await asyncio.sleep(config.lookup_ttl_s + propagation_s)
+        accept_until = boottime() + config.lookup_ttl_s + propagation_s
+        deadline = accept_until + config.stop_grace_s
+        self.forwarder.shutdown_window.begin(
+            accept_until=accept_until, end_at=deadline - HAND_OVER_RESERVE_S
+        )
+        await asyncio.sleep(accept_until - boottime())
         token_search.cancel()
         await self.server.stop_listening()
-        deadline = boottime() + self.node.config.stop_grace_s
         await self.wait_for_in_flight(deadline - HAND_OVER_RESERVE_S)
         await self.orders.close(max(0.0, deadline - HAND_OVER_RESERVE_S - boottime()))
         if self.forwarder.in_flight:
--- a/src/masticdeck/entry/forward.py
+++ b/src/masticdeck/entry/forward.py
@@ -12,6 +12,7 @@
 from masticdeck.clock import boottime
 from masticdeck.coordination.policy import AttemptOutcome, AttemptResult, Policy
 from masticdeck.coordination.rollout import Rollout, parse_version
+from masticdeck.coordination.shutdown_window import ShutdownWindow
 from masticdeck.coordination.slots import Slot
 from masticdeck.entry.delivery import SMALL_ANSWER_BYTES, Delivery
 from masticdeck.entry.order_forward import OrderForwarder, is_order
@@ -19,6 +20,7 @@
 from masticdeck.errors import (
     BodyTooSlow,
     DeadlinePassed,
+    EntryStopping,
     MasticdeckError,
     OutcomeUnknown,
     RequestInvalid,
@@ -66,6 +68,7 @@
         self.sequence = 0
         self.in_flight = 0
         self.leaving = False
+        self.shutdown_window = ShutdownWindow()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request under ``/service/``."""
@@ -73,6 +76,7 @@
         call: Call | None = None
         try:
             call = self.parse(request)
+            self.check_shutdown(call)
             seen = parse_version(request.headers.get(headers.VERSION))
             if not self.rollout.can_serve(seen):
                 await self.rollout.require_version(seen, deadline=call.deadline)
@@ -94,6 +98,15 @@
         finally:
             self.in_flight -= 1
 
+    def check_shutdown(self, call: Call) -> None:
+        """Raise EntryStopping for a call that may outlast the stop of the entry."""
+        now = boottime()
+        latest_start = self.shutdown_window.latest_start(
+            received_at=now, deadline=call.deadline, objective_s=0.0, expected_run_s=0.0
+        )
+        if now > latest_start:
+            raise EntryStopping()
+
     def mark(
         self, request: web.BaseRequest, response: web.Response, call: Call | None
     ) -> web.Response:
--- a/src/masticdeck/errors.py
+++ b/src/masticdeck/errors.py
@@ -158,3 +158,13 @@
     remedy = "repeat an idempotent request; ask for an order again with the same key"
     status = 502
     outcome = Outcome.UNKNOWN
+
+
+class EntryStopping(MasticdeckError):
+    """The entry stops before the request would be certain to end."""
+
+    code = "MD2104"
+    title = "entry stopping"
+    remedy = "send the request to another entry at once"
+    status = 503
+    outcome = Outcome.NOT_RUN
--- a/testing/coordination/test_leaving.py
+++ b/testing/coordination/test_leaving.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import re
 import signal
 
 from aiohttp import ClientError, ClientTimeout
@@ -11,6 +12,9 @@
 
 FAST_SETTINGS = {"lookup_ttl_s": 0.3, "heartbeat_s": 0.3, "stop_grace_s": 3.0}
 LONG_GRACE_SETTINGS = FAST_SETTINGS | {"stop_grace_s": 6.0}
+ANNOUNCEMENT_S = 1.0
+"""Seconds after SIGTERM at which an entry with fast settings stops to listen."""
+
 SLOW_MS = {"katalogs": 3500.0}
 
 
@@ -25,6 +29,15 @@
         return type(error).__name__
 
 
+async def count_runs(fleet: Fleet, service: str) -> int:
+    """Return the number of requests that the instances of a service have run."""
+    return sum(
+        stats["ran"]
+        for name, stats in (await fleet.instance_stats()).items()
+        if name.startswith(service)
+    )
+
+
 async def wait_for_exit(fleet: Fleet, entry: str) -> int:
     """Wait for an entry to exit and return its exit status."""
     async with asyncio.timeout(STOP_TIMEOUT_S):
@@ -80,6 +93,49 @@
         assert await wait_for_exit(fleet, "entry-1") == 0
 
 
+async def test_late_request_that_may_outlast_the_stop_is_refused():
+    """Guards against a request that is passed on and cut at the end of the stop."""
+    settings = FAST_SETTINGS | {"stop_grace_s": 8.0}
+    async with Fleet("riga", entries=2, settings=settings) as fleet:
+        entry = fleet.deployment["entries"][0]
+        reader, writer = await asyncio.open_connection(
+            entry["host"], entry["http_port"]
+        )
+        request = (
+            b"POST /service/katalogs/x HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n"
+        )
+        writer.write(request + b"\r\n")
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        assert head.startswith("HTTP/1.1 200")
+        length = int(re.search(r"Content-Length: (\d+)", head)[1])
+        await reader.readexactly(length)
+        ran = await count_runs(fleet, "katalogs")
+        # Keeps the entry from ending before the late request.
+        for instance in fleet.deployment["instances"]:
+            await fleet.control_instance(instance["id"], service_ms=2_000)
+        kept = asyncio.create_task(
+            get_status(
+                fleet,
+                "entry-1",
+                "/service/krajums/x",
+                **{"Masticdeck-Timeout-Ms": "4000"},
+            )
+        )
+        await asyncio.sleep(0.3)
+        fleet.processes["entry-1"].terminate()
+        await asyncio.sleep(ANNOUNCEMENT_S)
+        writer.write(request + b"Masticdeck-Timeout-Ms: 20000\r\n\r\n")
+        async with asyncio.timeout(0.5):
+            head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        assert head.startswith("HTTP/1.1 503")
+        assert "Masticdeck-Outcome: not-run" in head
+        assert "Connection: close" in head
+        assert await count_runs(fleet, "katalogs") == ran
+        writer.close()
+        assert await kept == "200"
+        assert await wait_for_exit(fleet, "entry-1") == 0
+
+
 async def test_leaving_entry_serves_while_other_entries_omit_it_from_lookups():
     settings = FAST_SETTINGS | {"lookup_ttl_s": 4.0}
     async with Fleet("riga", entries=3, settings=settings) as fleet:
