Take no odd record of another writer for an instance

Reported by operators of a similar system: one odd entry among those of the instances ended the machines that read the list, or stopped their following it.

Found here, with 103 spoilt records and 6 odd ids: no process ended, but ids with line breaks added headers to requests, addresses that are none and times that decode to infinity were used, a key that is no text could not be sent to followers, and a size of 400 digits in an entry's record left the decoder as OverflowError.

Change: ids are visible ASCII, addresses an IP address with a port in range, numbers and times bounded, keys that cannot be passed on left out; all decoders share one list of errors that make a record invalid.

Four mutants, a soak fault.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -11,6 +11,41 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="an odd record harms nothing else",
+        mechanism="the address of an instance is checked",
+        file=f"{SOURCE}/platform/records.py",
+        old='    if match is None or not 0 < int(match["port"]) <= MAX_PORT:',
+        new="    if match is None:",
+        test="testing/gateway/test_odd_records.py::test_odd_record_names_no_instance",
+    ),
+    Mutant(
+        promise="an odd record harms nothing else",
+        mechanism="numbers that are too large are errors of the record",
+        file=f"{SOURCE}/protocol/records.py",
+        old="    ArithmeticError,\n",
+        new="",
+        test="testing/gateway/test_odd_records.py"
+        "::test_odd_record_of_an_entry_is_invalid",
+    ),
+    Mutant(
+        promise="an odd record harms nothing else",
+        mechanism="nesting that is too deep is an error of the record",
+        file=f"{SOURCE}/protocol/records.py",
+        old="    RecursionError,\n",
+        new="",
+        test="testing/gateway/test_odd_records.py"
+        "::test_entry_serves_and_follows_on_among_odd_records",
+    ),
+    Mutant(
+        promise="an odd record harms nothing else",
+        mechanism="keys that cannot be passed on are left out",
+        file=f"{SOURCE}/platform/store.py",
+        old="            if key.isprintable():",
+        new="            if True:",
+        test="testing/gateway/test_odd_records.py"
+        "::test_key_that_cannot_be_encoded_is_left_out",
+    ),
     Mutant(
         promise="a planned stop cuts no request",
         mechanism="late requests that may outlast a stop are refused",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -12,6 +12,26 @@
 from soak.proxy import Mode
 from soak.world import GRACE_S, Entry, World
 
+ODD_VALUES = [
+    b"[" * 100_000,
+    b"9" * 5_000,
+    b"\xff\x00",
+    b"null",
+    *(
+        b'{"address": %b, "information": {"service": "s", "zone": "cesis-a",'
+        b' "slots": %b}, "status": {"state": "ready", "sequence": 1,'
+        b' "cold_remaining": %b}, "born": %b}' % fields
+        for fields in (
+            (b'"127.0.0.1:99999"', b"4", b'"0ms"', b"1"),
+            (b'"a\\r\\nb:80"', b"4", b'"0ms"', b"1"),
+            (b'"127.0.0.1:1"', b"1e999", b'"0ms"', b"1"),
+            (b'"127.0.0.1:1"', b"4", b'"%bs"' % (b"9" * 400), b"1"),
+            (b'"127.0.0.1:1"', b"4", b'"0ms"', b"9" * 400),
+        )
+    ),
+]
+"""Values that name no instance: too deep, too large, out of range, not text."""
+
 SETTLE_S = 4.0
 """Seconds after a fault until bounds hold again."""
 
@@ -158,3 +178,13 @@
 async def version(world: World) -> None:
     """Accept a version that moves a route to another service."""
     world.configure(world.random.choice(["s", "t"]))
+
+
+@faults.register("odd record")
+async def odd_record(world: World) -> None:
+    """Let another writer spoil records beside those of the instances."""
+    name = f"servers/odd{next(world.numbers)}"
+    for value in world.random.sample(ODD_VALUES, 3):
+        world.store.write(name, value)
+        await asyncio.sleep(world.random.uniform(0.0, 0.5))
+    world.store.remove(name)
--- a/src/masticdeck/coordination/fleet_view.py
+++ b/src/masticdeck/coordination/fleet_view.py
@@ -11,7 +11,12 @@
 from masticdeck.clock import boottime
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, InstanceId, ZoneId
-from masticdeck.protocol.records import RecordDecoder, RecordInvalid, RecordKind
+from masticdeck.protocol.records import (
+    INVALID_RECORD_ERRORS,
+    RecordDecoder,
+    RecordInvalid,
+    RecordKind,
+)
 from masticdeck.state.fleet import (
     DEFAULT_CPU_CORES,
     DEFAULT_LINK_MBPS,
@@ -22,6 +27,7 @@
 )
 
 ENTRY_PREFIX = "masticdeck/entries/"
+MAX_PORT = 65_535
 
 EXPIRY_GRACE_S = 2.0
 """Time for which an instance stays in use after its record may have expired."""
@@ -188,13 +194,22 @@
             zone=ZoneId(str(fields["zone"])),
             caller_address=str(fields["caller_address"]),
             peer_host=str(fields["peer_host"]),
-            peer_port=int(fields["peer_port"]),
+            peer_port=decode_port(fields["peer_port"]),
             incarnation=int(fields["incarnation"]),
             cpu_cores=decode_size(fields.get("cpu_cores", DEFAULT_CPU_CORES)),
             link_mbps=decode_size(fields.get("link_mbps", DEFAULT_LINK_MBPS)),
         )
-    except (ValueError, TypeError, KeyError, AttributeError) as error:
-        raise RecordInvalid(f"{type(error).__name__}: {error}") from None
+    except INVALID_RECORD_ERRORS as error:
+        raise RecordInvalid(f"{type(error).__name__}: {error}"[:200]) from None
+
+
+def decode_port(value: object) -> int:
+    """Return a port, or raise ValueError or TypeError."""
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is not a port")
+    if not 0 < value <= MAX_PORT:
+        raise ValueError("a port out of range")
+    return value
 
 
 def decode_size(value: object) -> float:
--- a/src/masticdeck/platform/records.py
+++ b/src/masticdeck/platform/records.py
@@ -6,13 +6,19 @@
 
 from __future__ import annotations
 
+import ipaddress
 import json
+import re
 from collections.abc import Callable
 from typing import Any, TypeVar
 
 from masticdeck.ids import InstanceId, RegionId, ServiceId, Version, ZoneId
 from masticdeck.platform.units import parse_duration
-from masticdeck.protocol.records import RecordInvalid, RecordKind
+from masticdeck.protocol.records import (
+    INVALID_RECORD_ERRORS,
+    RecordInvalid,
+    RecordKind,
+)
 from masticdeck.state.fleet import FleetInstance, InstanceState
 from masticdeck.state.routes import (
     BackendService,
@@ -29,6 +35,14 @@
 EVACUATION_PREFIX = "op/evacuate/"
 INSTANCE_PREFIX = "servers/"
 MAX_SLOTS = 100_000
+MAX_PORT = 65_535
+
+MAX_WHOLE = 2**63 - 1
+"""Largest whole number in a record; counters and times in milliseconds fit."""
+
+ADDRESS = re.compile(r"(?P<host>[^\[\]:]+|\[[^\[\]]+\]):(?P<port>[0-9]{1,5})")
+INSTANCE_ID = re.compile(r"[!-~]{1,190}")
+"""Visible ASCII: the id goes into a header of each request."""
 
 T = TypeVar("T")
 
@@ -86,7 +100,7 @@
     """Decode a JSON record; any shape that does not fit is RecordInvalid."""
     try:
         return decode(json.loads(value))
-    except (ValueError, TypeError, KeyError, AttributeError, RecursionError) as error:
+    except INVALID_RECORD_ERRORS as error:
         raise RecordInvalid(f"{type(error).__name__}: {error}"[:200]) from None
 
 
@@ -160,18 +174,20 @@
     ``information`` holds what stays for an incarnation and ``status`` what
     changes; ``sequence`` only counts the instance's own writes.
     """
+    if INSTANCE_ID.fullmatch(instance) is None:
+        raise ValueError(f"{instance!r} is not an id")
     fixed, status = fields["information"], fields["status"]
-    host, _, port = text(fields["address"]).rpartition(":")
+    host, port = ip_address(fields["address"])
     slots = whole(fixed["slots"])
-    if not host or not 0 < int(port) < 65_536 or not 0 < slots <= MAX_SLOTS:
-        raise ValueError("address or slots out of range")
+    if not 0 < slots <= MAX_SLOTS:
+        raise ValueError("slots out of range")
     whole(status["sequence"])
     cold_s = parse_duration(status["cold_remaining"])
     return FleetInstance(
         id=instance,
         service=ServiceId(text(fixed["service"])),
         host=host,
-        port=int(port),
+        port=port,
         zone=ZoneId(text(fixed["zone"])),
         slots=slots,
         state=InstanceState(status["state"]),
@@ -180,15 +196,33 @@
     )
 
 
+def ip_address(value: object) -> tuple[str, int]:
+    """Return host and port of an address, or raise ValueError or TypeError.
+
+    There are no names of hosts on the platform.
+
+    >>> ip_address("10.1.0.15:8641")
+    ('10.1.0.15', 8641)
+    >>> ip_address("[::1]:80")
+    ('::1', 80)
+    """
+    match = ADDRESS.fullmatch(text(value))
+    if match is None or not 0 < int(match["port"]) <= MAX_PORT:
+        raise ValueError("not an address with a port")
+    return str(ipaddress.ip_address(match["host"].strip("[]"))), int(match["port"])
+
+
 def text(value: object) -> str:
-    """Return a string that is not empty, or raise TypeError."""
-    if not isinstance(value, str) or not value:
+    """Return a printable string that is not empty, or raise TypeError."""
+    if not isinstance(value, str) or not value or not value.isprintable():
         raise TypeError(f"{value!r} is not text")
     return value
 
 
 def whole(value: object) -> int:
-    """Return a whole number of zero or more, or raise TypeError."""
-    if isinstance(value, bool) or not isinstance(value, int) or value < 0:
+    """Return a whole number from 0 to ``MAX_WHOLE``, or raise TypeError."""
+    if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not a whole number")
+    if not 0 <= value <= MAX_WHOLE:
+        raise ValueError("a whole number out of range")
     return value
--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -4,7 +4,8 @@
 
 import base64
 import json
-from collections.abc import Iterator, Mapping
+import logging
+from collections.abc import Iterable, Iterator, Mapping
 from contextlib import contextmanager
 from typing import Any
 
@@ -16,7 +17,7 @@
     StoreHistoryLost,
     StoreUnavailable,
 )
-from masticdeck.events import EventLog
+from masticdeck.events import Code, EventLog
 from masticdeck.ids import Revision
 from masticdeck.metrics import Metrics
 from masticdeck.platform.units import format_duration
@@ -82,12 +83,13 @@
         while True:
             fields = self.expect(await self.call("GET", "kv-range", query=query))
             with invalid_answers():
-                page = [decode_item(item) for item in fields["items"]]
+                rows = fields["items"]
+                page = [decode_item(row) for row in self.with_valid_keys(rows)]
                 revisions.append(decode_revision(fields["at"]))
             items += page
-            if not fields.get("has_more") or not page:
+            if not fields.get("has_more") or not rows:
                 return Listing(tuple(items), min(revisions))
-            query["after"] = page[-1].key
+            query["after"] = page[-1].key if page else str(rows[-1]["key"])
 
     async def put(
         self,
@@ -145,9 +147,32 @@
         answer = await self.call("GET", "kv-watch", query=query, wait_s=wait_s)
         fields = self.expect(answer)
         with invalid_answers():
-            changes = tuple(decode_change(event) for event in fields["events"])
+            rows = self.with_valid_keys(fields["events"])
+            changes = tuple(decode_change(row) for row in rows)
             return Changes(changes, decode_revision(fields["at"]))
 
+    def with_valid_keys(
+        self, rows: Iterable[Mapping[str, Any]]
+    ) -> Iterator[Mapping[str, Any]]:
+        """Return the rows of an answer whose key can be passed on and logged.
+
+        Another writer may choose any key, such as one that no other entry could be
+        sent. It names no record to use.
+        """
+        for row in rows:
+            key = str(row["key"])
+            if key.isprintable():
+                yield row
+                continue
+            self.metrics.count("invalid_keys")
+            if self.events is not None:
+                self.events.emit(
+                    Code.RECORD_INVALID,
+                    level=logging.WARNING,
+                    key=ascii(key),
+                    error="the key is not printable",
+                )
+
     def expect(self, answer: tuple[int, dict[str, Any]]) -> dict[str, Any]:
         """Return the fields of a successful answer."""
         status, fields = answer
@@ -216,7 +241,7 @@
         raise StoreUnavailable(f"status {status}")
     try:
         fields = json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         fields = None
     if isinstance(fields, dict):
         return fields
--- a/src/masticdeck/platform/units.py
+++ b/src/masticdeck/platform/units.py
@@ -6,6 +6,7 @@
 import re
 
 PATTERN = re.compile(r"([0-9]+(?:\.[0-9]+)?)(ms|s)")
+MAX_DURATION_S = 86_400.0 * 366
 SECONDS = {"ms": 0.001, "s": 1.0}
 
 
@@ -20,7 +21,10 @@
     match = PATTERN.fullmatch(text) if isinstance(text, str) else None
     if match is None:
         raise ValueError(f"{text!r} is not a duration")
-    return float(match[1]) * SECONDS[match[2]]
+    seconds = float(match[1]) * SECONDS[match[2]]
+    if seconds > MAX_DURATION_S:
+        raise ValueError("a duration of over a year")
+    return seconds
 
 
 def format_duration(seconds: float) -> str:
--- a/src/masticdeck/protocol/records.py
+++ b/src/masticdeck/protocol/records.py
@@ -8,6 +8,16 @@
 from masticdeck.state.fleet import FleetInstance
 from masticdeck.state.routes import RouteTable
 
+INVALID_RECORD_ERRORS = (
+    ValueError,
+    TypeError,
+    KeyError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+"""What decoding raises for a record of another shape, too large or too deep."""
+
 
 class RecordInvalid(Exception):
     """A stored record that cannot be read; it names nothing to use."""
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -268,7 +268,7 @@
         raise StoreUnavailable(f"{method}: status {status}")
     try:
         answer = json.loads(text)
-    except ValueError:
+    except (ValueError, RecursionError):
         raise StoreAnswerInvalid(f"{method}: not JSON") from None
     if status != 200 or not isinstance(answer, dict):
         raise StoreAnswerInvalid(f"{method}: status {status}")
