Keep instances' notices that they leave or rest

Change: the adapter decodes both; only a response with the request's id, and no misdirection, says something of its instance. Leaving is kept by incarnation in the fleet and leaves the instance out of every choice, whatever its record says.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -8,14 +8,77 @@
 FORWARD = "testing/gateway/test_forward.py"
 STRAY = "testing/gateway/test_stray_responses.py"
 BACKEND = "testing/protocol/test_backend.py"
+NOTICES = "testing/gateway/test_notices.py"
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="an instance that says it leaves is left out",
+        file=f"{SOURCE}/state/fleet.py",
+        old="                and instance.incarnation not in self.leaving\n",
+        new="",
+        test=f"{NOTICES}::TestLeaving::test_instance_gets_no_further_requests",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="a notice concerns one incarnation",
+        file=f"{SOURCE}/state/fleet.py",
+        old="        return self.id, self.born_ms",
+        new="        return self.id, 0",
+        test=f"{NOTICES}::TestLeaving::test_new_incarnation_under_the_same_id_is_used",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="a misdirection says nothing of the instance",
+        file=f"{SOURCE}/gateway/attempt.py",
+        old="        if not response_headers.misdirected and request_id == (",
+        new="        if request_id == (",
+        test=f"{NOTICES}"
+        "::TestLeaving::test_misdirected_request_says_nothing_of_its_instance",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="a resting instance counts as full",
+        file=f"{SOURCE}/coordination/instance_load.py",
+        old="        return now >= self.resting_until and (",
+        new="        return (",
+        test=f"{NOTICES}::TestResting::test_instance_gets_nothing_until_its_rest_ends",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="few requests follow a rest at first",
+        file=f"{SOURCE}/coordination/instance_load.py",
+        old="        load.ramp_limit = RAMP_START_REQUESTS",
+        new="        load.ramp_limit = None",
+        test=f"{NOTICES}"
+        "::TestResting::test_first_requests_after_a_rest_are_few_and_grow",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="a request that a rest outlasts is refused at once",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="        return resting_until <= now or resting_until <= min(\n"
+        "            request.queue_until, self.latest_start(request, instance)\n"
+        "        )",
+        new="        return True",
+        test=f"{NOTICES}::TestResting"
+        "::test_request_is_refused_at_once_while_all_rest_for_too_long",
+    ),
+    Mutant(
+        promise="no region is overloaded by a steering decision",
+        mechanism="a rest is no failure",
+        file=f"{SOURCE}/gateway/attempt.py",
+        old="        return AttemptStatus.RESTING",
+        new="        return AttemptStatus.SHED",
+        test=f"{NOTICES}::TestResting::test_rest_is_no_failure_of_the_instance",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="a connection that ends within a head breaks the exchange",
         file=f"{SOURCE}/transport/http1_client.py",
-        old='            self.fail("the connection ended" if exc is None else str(exc))',
+        old="            self.fail("
+        '"the connection ended" if exc is None else str(exc))',
         new="            self.complete = True\n"
         "            if self.head is not None and not self.head.done():\n"
         "                self.head.set_result(AnswerHead(200, b'', self.headers, 0))",
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -10,7 +10,8 @@
 
 from masticdeck.registry import Registry
 from soak.proxy import Mode
-from soak.world import GRACE_S, Entry, World
+from soak.world import GRACE_S, SERVICES, Entry, World
+from testing.platform.standin_instance import StandinInstance
 
 ODD_VALUES = [
     b"[" * 100_000,
@@ -161,11 +162,46 @@
         proxy.set(Mode.PASS)
 
 
+def choose_instance(world: World) -> StandinInstance:
+    """Return an instance that is not leaving."""
+    return world.random.choice(
+        [
+            one
+            for one in world.instances
+            if one.id not in world.ledger.left and not one.leaving
+        ]
+    )
+
+
+@faults.register("quiet leave")
+async def quiet_leave(world: World) -> None:
+    """Let an instance tell of its leaving in its answers only, until it is gone."""
+    leaving = choose_instance(world)
+    await world.add_instance(f"{leaving.service}{next(world.numbers)}", leaving.service)
+    leaving.leaving = True
+    await asyncio.sleep(world.random.uniform(3.0, 5.0))
+    world.store.remove(f"servers/{leaving.id}")
+
+
+@faults.register("rest")
+async def rest(world: World) -> None:
+    """Let instances turn requests away for a while, and ask for a rest."""
+    service = world.random.choice(SERVICES)
+    everyone = [one for one in world.instances if one.service == service]
+    count = len(everyone) if world.random.random() < 0.2 else 1
+    chosen = world.random.sample(everyone, count)
+    for one in chosen:
+        world.resting[one.id] = world.random.uniform(0.1, 2.5)
+    await asyncio.sleep(world.random.uniform(0.1, 1.5))
+    for one in chosen:
+        world.resting.pop(one.id, None)
+
+
 @faults.register("drain")
 async def drain(world: World) -> None:
     """Let an instance leave as planned, and another come."""
-    ready = [one for one in world.instances if one.id not in world.ledger.left]
-    leaving = world.random.choice(ready)
+    leaving = choose_instance(world)
+    leaving.leaving = True
     world.store.write(f"servers/{leaving.id}", leaving.record(state="draining"))
     world.ledger.left[leaving.id] = time.monotonic()
     name = f"{leaving.service}{next(world.numbers)}"
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -8,6 +8,12 @@
 
 REFUSALS = frozenset({408, 421, 429, 503})
 
+DRAIN_TIMEOUT_S = 2.5
+REST_DELAY_S = 0.5
+"""Time after which an entry has taken in a rest, and in which it may still send."""
+
+MAX_REQUESTS_IN_A_REST = 2
+
 MIN_ENDLESS_ANSWER_S = 1.9
 """Time for which an answer without end is passed on; callers wait 2 s."""
 
@@ -38,6 +44,16 @@
     at: float
 
 
+@dataclass
+class Rest:
+    """An instance's word to an entry that it wants nothing from it for a time."""
+
+    entry: str
+    instance: str
+    at: float
+    until: float
+
+
 @dataclass
 class Ledger:
     """Everything that was seen, and spans in which bounds do not hold."""
@@ -52,6 +68,9 @@
     exits: dict[str, int] = field(default_factory=dict)
     early_stops: set[str] = field(default_factory=set)
     endless: set[str] = field(default_factory=set)
+    arrivals: list[Ran] = field(default_factory=list)
+    rests: list[Rest] = field(default_factory=list)
+    passed_on_leaving: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def calm(self, since: float, until: float) -> bool:
         """Return whether no fault touched a span."""
@@ -64,6 +83,8 @@
             *self.repeated_runs(),
             *self.false_refusals(),
             *self.late_work(),
+            *self.work_after_notice(),
+            *self.disturbed_rests(),
             *self.old_versions(),
             *self.bad_stops(),
         ]
@@ -106,10 +127,43 @@
             f"DRAIN {one.id} reached {one.instance} {one.at - left:.2f} s late"
             for one in self.ran
             if (left := self.left.get(one.instance)) is not None
-            and one.at > left + 2.5
+            and one.at > left + DRAIN_TIMEOUT_S
             and self.calm(left - 4, one.at)
         ]
 
+    def work_after_notice(self) -> list[str]:
+        """An entry that passed on an instance's notice of leaving soon stops using it.
+
+        This holds whatever the store says, but for entries that were paused.
+        """
+        found = []
+        for one in self.arrivals:
+            asked = self.asked.get(one.id)
+            if asked is None or asked.entry in self.killed:
+                continue
+            told_at = self.passed_on_leaving.get((asked.entry, one.instance))
+            if told_at is not None and asked.sent_at > told_at + DRAIN_TIMEOUT_S:
+                late_s = asked.sent_at - told_at
+                found.append(f"DRAIN {one.id} at {one.instance} {late_s:.2f} s late")
+        return found
+
+    def disturbed_rests(self) -> list[str]:
+        """An instance that rests gets two requests of an entry at the most."""
+        arrivals = defaultdict(list)
+        for one in self.arrivals:
+            asked = self.asked.get(one.id)
+            if asked is not None:
+                arrivals[asked.entry, one.instance].append(one.at)
+        found = []
+        for rest in self.rests:
+            count = sum(
+                rest.at + REST_DELAY_S < at < rest.until
+                for at in arrivals[rest.entry, rest.instance]
+            )
+            if count > MAX_REQUESTS_IN_A_REST and rest.entry not in self.killed:
+                found.append(f"BUDGET {count} requests to {rest.instance} in its rest")
+        return found
+
     def old_versions(self) -> list[str]:
         """A version is in force 2.5 s after its acceptance, in calm times."""
         found = []
--- a/soak/world.py
+++ b/soak/world.py
@@ -18,7 +18,7 @@
 import yaml
 
 from soak.answers import DueAnswer, answer_faults, refuse
-from soak.ledger import Asked, Ledger, Ran
+from soak.ledger import Asked, Ledger, Ran, Rest
 from soak.proxy import FaultProxy
 from testing.gateway.world import (
     HOST,
@@ -112,6 +112,7 @@
         self.entries: list[Entry] = []
         self.instances: list[StandinInstance] = []
         self.proxies: dict[str, FaultProxy] = {}
+        self.resting: dict[str, float] = {}
         self.numbers = itertools.count()
         self.version = itertools.count(1)
         self.callers: list[asyncio.Task[None]] = []
@@ -176,14 +177,17 @@
 
     async def run_request(self, instance: Any, request: Any, writer: Any) -> None:
         """Run a request at an instance and answer with its own id."""
+        now = time.monotonic()
+        arrival = Ran(request.id, instance.id, instance.service, request.target, now)
+        self.ledger.arrivals.append(arrival)
+        if instance.id in self.resting:
+            self.refuse_with_rest(instance, request, writer)
+            return
         drawn = self.answer_random.random() if self.spoils_answers else 1.0
         if drawn < REFUSED_PART:
             refuse(instance, request, writer)
             return
-        now = time.monotonic()
-        self.ledger.ran.append(
-            Ran(request.id, instance.id, instance.service, request.target, now)
-        )
+        self.ledger.ran.append(arrival)
         await asyncio.sleep(self.random.expovariate(1 / WORK_S))
         body = f"{request.id} {instance.id}".encode()
         answer = DueAnswer(instance, request, writer, self.answer_random, body)
@@ -196,6 +200,20 @@
         else:
             answer.write(answer.whole)
 
+    def refuse_with_rest(self, instance: Any, request: Any, writer: Any) -> None:
+        """Turn a request away and ask its entry for a rest."""
+        rest_s = self.resting[instance.id]
+        writer.write(
+            instance.head(
+                request, 503, 0, f"Not-Executed: 1\r\nRetry-After: {rest_s:.2f}"
+            )
+        )
+        asked = self.ledger.asked.get(request.id)
+        if asked is not None:
+            now = time.monotonic()
+            rest = Rest(asked.entry, instance.id, now, now + rest_s)
+            self.ledger.rests.append(rest)
+
     async def is_ready(self, entry: Entry) -> bool:
         """Return whether an entry says that it wants requests."""
         address = entry.fields["listen_addresses"]["ready"]
@@ -286,6 +304,11 @@
             asked.ended_at = time.monotonic()
         asked.status, asked.body = answer.status, answer.body
         asked.signed = "server-signature" in answer.headers
+        if "server-leaving" in answer.headers and len(answer.body.split()) > 1:
+            instance = answer.body.split()[1].decode()
+            self.ledger.passed_on_leaving.setdefault(
+                (asked.entry, instance), asked.ended_at
+            )
         return answer
 
 
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -81,7 +81,8 @@
     boot time by which a response is wanted; after the boot time ``deadline`` a
     response is of no use. ``received_at`` and ``caller_deadline`` are the boot times
     at which the request arrived and at which its caller leaves. ``expected_run_s`` is
-    the shortest expected run time at its instances.
+    the shortest expected run time at its instances. ``queue_until`` is the boot time
+    until which the request may wait for a slot.
     """
 
     route: Route
@@ -91,6 +92,7 @@
     deadline: float
     received_at: float = -math.inf
     caller_deadline: float = math.inf
+    queue_until: float = math.inf
     expected_run_s: float = 0.0
     tried_instances: set[InstanceId] = field(default_factory=set)
     waiter: asyncio.Future[FleetInstance] | None = None
@@ -114,12 +116,15 @@
 
     ``candidate_count`` is the number of instances that might have served it,
     ``waiting_count`` the number of requests queued for its service, and
-    ``min_run_s`` the shortest expected run time at a candidate.
+    ``min_run_s`` the shortest expected run time at a candidate. ``rest_s`` is the time
+    after which the first resting instance accepts requests again, 0 if candidates are
+    left.
     """
 
     candidate_count: int
     waiting_count: int
     min_run_s: float
+    rest_s: float
 
 
 class Dispatcher:
@@ -234,8 +239,18 @@
                 (self.expected_s(request, instance) for instance in candidates),
                 default=0.0,
             ),
+            rest_s=0.0 if candidates else self.min_rest_s(request.service),
         )
 
+    def min_rest_s(self, service: ServiceId) -> float:
+        """Return the seconds to the first end of a rest in a service, 0 without one."""
+        now = boottime()
+        rests = [
+            self.loads.get(instance).resting_until - now
+            for instance in self.fleet.in_service(service)
+        ]
+        return min((rest_s for rest_s in rests if rest_s > 0), default=0.0)
+
     def expected_s(self, request: PendingRequest, instance: FleetInstance) -> float:
         """Return the expected run time at an instance, 0 when it is unknown."""
         expected_s = self.run_times.expected_s(request.route, instance.id, request.key)
@@ -407,13 +422,15 @@
     def candidates(self, request: PendingRequest) -> list[FleetInstance]:
         """Return the instances that may serve a request, full ones included.
 
-        Cold and ejected instances are returned only when there is no other.
+        Cold and ejected instances are returned only when there is no other. Those
+        whose rest ends in time count as full, and keep their keys; others are left out.
         """
         now = boottime()
 
         def is_warm(instance: FleetInstance) -> bool:
             return (
                 instance.id not in request.tried_instances
+                and self.rests_end_in_time(request, instance, now)
                 and self.fleet.cold_until(instance) <= now
                 and self.is_healthy(instance, now)
             )
@@ -440,12 +457,23 @@
         in_flight = self.loads.get(instance).own_requests
         return self.health.allows(instance.id, in_flight, now)
 
+    def rests_end_in_time(
+        self, request: PendingRequest, instance: FleetInstance, now: float
+    ) -> bool:
+        """Return whether an instance does not rest, or not for too long to wait."""
+        resting_until = self.loads.get(instance).resting_until
+        return resting_until <= now or resting_until <= min(
+            request.queue_until, self.latest_start(request, instance)
+        )
+
     def is_last_resort(
         self, request: PendingRequest, instance: FleetInstance, now: float
     ) -> bool:
         """Return whether an instance may be used when no healthy warm one exists."""
         if instance.id in request.tried_instances:
             return False
+        if not self.rests_end_in_time(request, instance, now):
+            return False
         if self.fleet.cold_until(instance) <= now:
             return True
         load = self.loads.get(instance)
--- a/src/masticdeck/coordination/instance_load.py
+++ b/src/masticdeck/coordination/instance_load.py
@@ -59,6 +59,16 @@
 The estimate falls to ``MAX_REQUESTS_PER_SLOT`` after about 0.7 s.
 """
 
+MAX_REST_S = 600.0
+"""Longest rest of an instance that is respected, whatever it asks for."""
+
+RAMP_START_REQUESTS = 1
+RAMP_FACTOR = 2
+"""Requests of an entry at an instance after its rest: few at first, then more.
+
+All entries learn of a rest at about the same time and would return together.
+"""
+
 COLD_BURST_REQUESTS = 1.0
 """Requests that one entry may send to a cold instance in a burst."""
 
@@ -73,9 +83,12 @@
     ``last_response_at`` is the boot time of the latest response of any kind.
     ``cold_tokens`` is the number of requests that this entry may send to the
     instance while it is cold, as of boot time ``cold_refilled_at``.
-    ``has_sent_invalid_report`` states that a report could not be read, and
+    ``has_sent_invalid_report`` states that a report could not be read,
+    ``has_sent_invalid_notice`` the same of a notice that it leaves or rests, and
     ``reported_slowdown`` is the factor by which work took longer than usual on the
-    instance's machine at the last report.
+    instance's machine at the last report. Until boot time ``resting_until`` the
+    instance wants no requests from this entry; afterwards ``ramp_limit`` is the
+    number that it may have at a time, None for no such limit.
     """
 
     slots: int
@@ -85,10 +98,13 @@
     reported_at: float = float("-inf")
     reported_slowdown: float = 1.0
     has_sent_invalid_report: bool = False
+    has_sent_invalid_notice: bool = False
     mean_latency_s: float | None = None
     last_response_at: float = float("-inf")
     cold_tokens: float = COLD_BURST_REQUESTS
     cold_refilled_at: float = 0.0
+    resting_until: float = float("-inf")
+    ramp_limit: int | None = None
 
     @property
     def report_half_life_s(self) -> float:
@@ -115,6 +131,12 @@
         deviation = self.other_requests - self.mean_other_requests
         return self.own_requests + self.mean_other_requests + weight * deviation
 
+    def accepts_more(self, now: float) -> bool:
+        """Return whether neither a rest nor the ramp after it forbids a request."""
+        return now >= self.resting_until and (
+            self.ramp_limit is None or self.own_requests < self.ramp_limit
+        )
+
     def has_free_slot(self, now: float) -> bool:
         """Return whether one more request is expected to run at once, or next.
 
@@ -122,6 +144,8 @@
         one, because its response brings a new report. The estimate is rounded to
         whole requests.
         """
+        if not self.accepts_more(now):
+            return False
         if self.reported_at == float("-inf"):
             return self.own_requests < max(
                 1, int(self.slots * UNREPORTED_SLOT_FRACTION)
@@ -133,7 +157,10 @@
 
     def has_queue_capacity(self, now: float) -> bool:
         """Return whether the instance's own queue is short enough for one more."""
-        return self.estimate_requests(now) < MAX_REQUESTS_PER_SLOT * self.slots
+        return (
+            self.accepts_more(now)
+            and self.estimate_requests(now) < MAX_REQUESTS_PER_SLOT * self.slots
+        )
 
 
 class InstanceLoads:
@@ -181,6 +208,22 @@
         load.reported_slowdown = load.estimate_slowdown(now)
         load.reported_at = now
 
+    def record_rest(self, load: InstanceLoad, rest_s: float, now: float) -> None:
+        """Give an instance no requests for ``rest_s`` seconds, and few after that.
+
+        Each rest holds to its own end, so the latest end counts.
+        """
+        load.resting_until = max(load.resting_until, now + min(rest_s, MAX_REST_S))
+        load.ramp_limit = RAMP_START_REQUESTS
+
+    def record_run(self, load: InstanceLoad, now: float) -> None:
+        """Raise the limit after a rest when the instance has run a request."""
+        if load.ramp_limit is None or now < load.resting_until:
+            return
+        load.ramp_limit *= RAMP_FACTOR
+        if load.ramp_limit > load.slots:
+            load.ramp_limit = None
+
     def record_end(self, load: InstanceLoad) -> None:
         """Count the end of a request.
 
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -47,6 +47,7 @@
 
     ANSWERED = "answered"
     SHED = "shed"
+    RESTING = "resting"
     MISDIRECTED = "misdirected"
     UNREACHABLE = "unreachable"
     EXPIRED = "expired before it was sent"
@@ -66,6 +67,7 @@
 NOT_RUN_STATUSES = frozenset(
     {
         AttemptStatus.SHED,
+        AttemptStatus.RESTING,
         AttemptStatus.MISDIRECTED,
         AttemptStatus.UNREACHABLE,
         AttemptStatus.EXPIRED,
@@ -194,16 +196,12 @@
         head = await self.wait_for_head(connection)
         response_headers = self.process_head(connection, head)
         if response_headers.not_run:
-            if response_headers.use is None:
+            if response_headers.use is None and response_headers.rest_s is None:
                 self.forwarder.instance_loads.record_rejection(
                     self.instance_load, boottime()
                 )
             await discard_body(connection)
-            return (
-                AttemptStatus.MISDIRECTED
-                if response_headers.misdirected
-                else AttemptStatus.SHED
-            )
+            return classify_refusal(response_headers)
         if (
             not response_headers.signed
             or response_headers.request_id != self.exchange.request_headers.id
@@ -302,7 +300,15 @@
         self.instance_load.last_response_at = now
         if not response_headers.not_run:
             loads.record_latency(self.instance_load, now - self.started_at)
+            loads.record_run(self.instance_load, now)
             self.record_run_time(now - self.started_at)
+        request_id = self.exchange.request_headers.id
+        if not response_headers.misdirected and request_id == (
+            response_headers.request_id
+        ):
+            self.forwarder.record_notices(
+                self.instance, self.instance_load, response_headers, request_id
+            )
         if response_headers.use is not None:
             loads.record_report(self.instance_load, response_headers.use, now)
         elif response_headers.has_invalid_use:
@@ -372,6 +378,15 @@
         self.exchange.record_response(head.status)
 
 
+def classify_refusal(response_headers: AnswerMarks) -> AttemptStatus:
+    """Return the status of an attempt whose request certainly did not run."""
+    if response_headers.misdirected:
+        return AttemptStatus.MISDIRECTED
+    if response_headers.rest_s is not None:
+        return AttemptStatus.RESTING
+    return AttemptStatus.SHED
+
+
 async def read_first_chunks(connection: InstanceConnection) -> tuple[list[bytes], bool]:
     """Return the first chunks of a body and whether the body is complete.
 
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -71,6 +71,7 @@
             caller_deadline=self.caller_deadline,
         )
         self.queue_until = queue_deadline(request.received_at, self.deadline)
+        self.pending_request.queue_until = self.queue_until
         self.attempt_count = 0
         self.failed_statuses: list[AttemptStatus] = []
         self.fallback_response: BufferedResponse | None = None
@@ -242,7 +243,7 @@
                 self.request,
                 self.request_headers.id,
                 reason=reason,
-                retry_after_s=self.forwarder.retry_after_s(),
+                retry_after_s=self.forwarder.retry_after_s(shortage.rest_s),
                 route=self.pending_request.route.id,
                 service=self.pending_request.service,
                 key=self.request_headers.affinity or "",
@@ -250,6 +251,7 @@
                 candidates=shortage.candidate_count,
                 waiting=shortage.waiting_count,
                 expected_ms=round(shortage.min_run_s * 1000),
+                rest_ms=round(shortage.rest_s * 1000),
             )
             return
         status_code = 504 if self.failed_statuses[-1] is AttemptStatus.LATE else 502
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -20,7 +21,7 @@
 from masticdeck.gateway.attempt import AttemptStatus
 from masticdeck.gateway.exchange import DEFAULT_REMAINING_S, Exchange, RouteNotFound
 from masticdeck.metrics import Metrics
-from masticdeck.protocol.dialect import Dialect, Headers
+from masticdeck.protocol.dialect import AnswerMarks, Dialect, Headers
 from masticdeck.state.fleet import Fleet, FleetInstance
 from masticdeck.state.routes import CallerLimits
 from masticdeck.transport.http1_server import InboundRequest
@@ -38,6 +39,9 @@
 MAX_CONFIGURATION_WAIT_FRACTION = 0.25
 """Longest wait for the first configuration, as a fraction of the caller's time."""
 
+REST_SPREAD_FACTOR = 1.25
+"""Latest return of a rejected caller, in multiples of the rest it waits for."""
+
 STOPPING_RETRY_S = 0.0
 """``Retry-After`` of a stopping entry: the other entries can respond at once."""
 
@@ -100,9 +104,16 @@
         """Return the seconds since the records were last confirmed as current."""
         return self.replica.age_s(boottime())
 
-    def retry_after_s(self) -> float:
-        """Return the time after which a rejected caller may retry, in seconds."""
-        return STOPPING_RETRY_S if self.is_leaving() else RETRY_AFTER_S
+    def retry_after_s(self, rest_s: float = 0.0) -> float:
+        """Return the time after which a rejected caller may retry, in seconds.
+
+        ``rest_s`` is the time until the first of the resting instances accepts
+        requests again; callers return at different times after it.
+        """
+        if self.is_leaving():
+            return STOPPING_RETRY_S
+        spread_rest_s = rest_s * random.uniform(1.0, REST_SPREAD_FACTOR)
+        return max(RETRY_AFTER_S, round(spread_rest_s, 3))
 
     async def handle(self, request: InboundRequest) -> None:
         """Respond to one request."""
@@ -252,6 +263,41 @@
                 Code.LOAD_REPORT_INVALID, level=logging.WARNING, instance=instance.id
             )
 
+    def record_notices(
+        self,
+        instance: FleetInstance,
+        instance_load: InstanceLoad,
+        response_headers: AnswerMarks,
+        request_id: str,
+    ) -> None:
+        """Take in that an instance leaves, or rests; log the first such notice."""
+        if response_headers.is_leaving and self.fleet.record_leaving(instance):
+            self.metrics.count("leaving_notices")
+            self.events.emit(
+                Code.INSTANCE_LEAVING, request=request_id, instance=instance.id
+            )
+        if response_headers.rest_s is not None:
+            self.metrics.count("rest_notices")
+            self.instance_loads.record_rest(
+                instance_load, response_headers.rest_s, boottime()
+            )
+            self.events.emit(
+                Code.INSTANCE_RESTING,
+                request=request_id,
+                instance=instance.id,
+                rest_s=response_headers.rest_s,
+            )
+        if response_headers.has_invalid_notice:
+            self.metrics.count("invalid_notices")
+            if not instance_load.has_sent_invalid_notice:
+                instance_load.has_sent_invalid_notice = True
+                self.events.emit(
+                    Code.NOTICE_INVALID,
+                    level=logging.WARNING,
+                    request=request_id,
+                    instance=instance.id,
+                )
+
     def remove_instance(self, instance: FleetInstance) -> None:
         """Discard the state and connections of an instance's former incarnation."""
         self.instance_loads.remove(instance.id)
--- a/src/masticdeck/platform/headers.py
+++ b/src/masticdeck/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import math
+import re
 
 from masticdeck.errors import RequestInvalid
 from masticdeck.ids import InstanceId
@@ -13,6 +14,7 @@
     RequestMarks,
     end_to_end,
     find_header,
+    find_headers,
 )
 
 REQUEST_ID = b"attempt-id"
@@ -22,9 +24,14 @@
 NOT_RUN = b"not-executed"
 SIGNATURE = b"server-signature"
 USE = b"server-load"
+LEAVING = b"server-leaving"
+RETRY_AFTER = b"retry-after"
 
 MAX_REMAINING_MS = 600_000
 MISDIRECTED = 421
+TURNED_AWAY = 503
+
+SECONDS = re.compile(rb"[0-9]{1,9}(?:\.[0-9]{1,9})?")
 
 MIN_USE_FIGURES = 3
 MAX_USE_FIGURES = 4
@@ -73,6 +80,9 @@
         misdirected = status == MISDIRECTED
         use_header = find_header(headers, USE)
         use = None if use_header is None else parse_use(use_header)
+        leaving = find_headers(headers, LEAVING)
+        rests = find_headers(headers, RETRY_AFTER) if status == TURNED_AWAY else []
+        rest_s = parse_rest(rests)
         return AnswerMarks(
             request_id=None if identity is None else identity.decode("latin-1"),
             not_run=misdirected or find_header(headers, NOT_RUN) is not None,
@@ -82,6 +92,10 @@
             has_invalid_use=use_header is not None and use is None,
             idle_s=parse_idle(find_header(headers, b"keep-alive")),
             closes=b"close" in connection.lower(),
+            is_leaving=leaving == [b"1"],
+            rest_s=rest_s,
+            has_invalid_notice=leaving not in ([], [b"1"])
+            or bool(rests and rest_s is None),
         )
 
     def answer_headers(self, headers: Headers) -> Headers:
@@ -135,6 +149,20 @@
     return int(figure)
 
 
+def parse_rest(values: list[bytes]) -> float | None:
+    """Return the seconds for which an instance wants no requests, None if unreadable.
+
+    A date is not a number of seconds.
+
+    >>> parse_rest([b"1.5"])
+    1.5
+    >>> parse_rest([b"Sat, 05 Dec 2026 12:00:00 GMT"])
+    """
+    if len(values) != 1 or SECONDS.fullmatch(values[0].strip()) is None:
+        return None
+    return float(values[0])
+
+
 def parse_idle(value: bytes | None) -> float | None:
     """Return the seconds that an idle connection stays open, if stated.
 
--- a/src/masticdeck/protocol/dialect.py
+++ b/src/masticdeck/protocol/dialect.py
@@ -62,7 +62,10 @@
     request; ``misdirected`` when another instance has the address. ``use`` is its
     load report, None without one; ``has_invalid_use`` states that there is one that
     cannot be read. ``idle_s`` is how long it keeps the connection open, None when it
-    does not say.
+    does not say. ``is_leaving`` states that this incarnation of the instance is about
+    to end; ``rest_s`` is for how many seconds it wants no request from this entry, None
+    when it does not say. ``has_invalid_notice`` states that one of these two cannot be
+    read.
     """
 
     request_id: str | None
@@ -73,6 +76,9 @@
     idle_s: float | None
     closes: bool
     has_invalid_use: bool = False
+    is_leaving: bool = False
+    rest_s: float | None = None
+    has_invalid_notice: bool = False
 
 
 class Dialect(Protocol):
@@ -105,6 +111,11 @@
     return None
 
 
+def find_headers(headers: Headers, name: bytes) -> list[bytes]:
+    """Return all values of a header; ``name`` is in lower case."""
+    return [value for key, value in headers if key.lower() == name]
+
+
 def end_to_end(headers: Headers) -> Headers:
     """Return the headers that do not belong to one connection only."""
     dropped = set(PER_CONNECTION)
--- a/src/masticdeck/state/fleet.py
+++ b/src/masticdeck/state/fleet.py
@@ -20,6 +20,11 @@
 DEFAULT_LINK_MBPS = 1000.0
 """Bandwidth of an entry's VM that states no size, in Mbit/s."""
 
+MAX_LEAVING_INCARNATIONS = 10_000
+"""Incarnations that are remembered as leaving; the first ones have ended by then."""
+
+Incarnation = tuple[InstanceId, int]
+
 
 class InstanceState(Enum):
     """What an instance reports of itself."""
@@ -47,6 +52,11 @@
     born_ms: int
     cold_until: float = 0.0
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """Return what tells this start of the instance from others under its id."""
+        return self.id, self.born_ms
+
 
 @final
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -79,6 +89,7 @@
         self.routes: RouteTable | None = None
         self.instances: dict[InstanceId, FleetInstance] = {}
         self.of_service: dict[ServiceId, dict[InstanceId, FleetInstance]] = {}
+        self.leaving: dict[Incarnation, None] = {}
         self.entries: dict[EntryId, FleetEntry] = {}
         self.entries_epoch = 0
         self.evacuated: set[ZoneId] = set()
@@ -108,9 +119,26 @@
         known = self.instances.pop(instance, None)
         if known is not None:
             del self.of_service[known.service][instance]
+            if not known.born_ms:
+                # Nothing would tell a later start under the same id from this one.
+                self.leaving.pop(known.incarnation, None)
             self.record_instance_change(known.service)
         return known
 
+    def record_leaving(self, instance: FleetInstance) -> bool:
+        """Give an incarnation no new requests, whatever its record says from now on.
+
+        Returns False if that was known. Nothing ends the state: an instance that
+        leaves only comes back as another incarnation.
+        """
+        if instance.incarnation in self.leaving:
+            return False
+        self.leaving[instance.incarnation] = None
+        if len(self.leaving) > MAX_LEAVING_INCARNATIONS:
+            del self.leaving[next(iter(self.leaving))]
+        self.record_instance_change(instance.service)
+        return True
+
     def put_entry(self, entry: FleetEntry) -> FleetEntry | None:
         """Add an entry or replace what was known of it; return the latter."""
         previous = self.entries.get(entry.id)
@@ -149,6 +177,7 @@
         for instance in self.of_service.get(service, {}).values():
             if (
                 instance.state is InstanceState.READY
+                and instance.incarnation not in self.leaving
                 and instance.zone not in self.evacuated
                 and instance.zone in self.region_of
             ):
--- a/testing/platform/standin_instance.py
+++ b/testing/platform/standin_instance.py
@@ -1,7 +1,8 @@
 """A stand-in of a backend instance that speaks the platform's headers.
 
 ``act`` decides how the next requests are answered; every request that arrives
-is kept in ``requests`` as it was received, and ``running`` counts those at work.
+is kept in ``requests`` as it was received, and ``running`` counts those at work. While
+``leaving`` is set, every answer says so.
 """
 
 from __future__ import annotations
@@ -48,6 +49,7 @@
     slots: int = 4
     act: Act = answer_well
     requests: list[ReceivedRequest] = field(default_factory=list)
+    leaving: bool = False
     running: int = 0
     cancelled: int = 0
     address: str = ""
@@ -89,6 +91,8 @@
         ]
         if length is not None:
             lines.append(f"Content-Length: {length}")
+        if self.leaving:
+            lines.append("Server-Leaving: 1")
         if extra:
             lines.append(extra)
         return "\r\n".join([*lines, "", ""]).encode()
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from soak.ledger import Asked, Ledger, Ran
+from soak.ledger import Asked, Ledger, Ran, Rest
 
 
 def ledger(asked: Asked, *ran: Ran, **fields) -> Ledger:
@@ -38,7 +38,32 @@
 
 LOST = asked(status=0, body=b"", signed=False)
 
+NOTICE = {"passed_on_leaving": {("entry-0#1", "s1"): 97.0}, "arrivals": [ran()]}
+RESTED = Rest("entry-0#1", "s1", 99.0, 101.0)
+
 CASES = [
+    pytest.param(ledger(asked(), ran(), **NOTICE), "DRAIN", id="work after a notice"),
+    pytest.param(
+        ledger(asked(sent_at=99.4), ran(), **NOTICE), None, id="soon after a notice"
+    ),
+    pytest.param(
+        ledger(asked(), ran(), **NOTICE, killed={"entry-0#1"}), None, id="paused since"
+    ),
+    pytest.param(
+        ledger(asked(), ran(), rests=[RESTED], arrivals=[ran()] * 3),
+        "BUDGET",
+        id="three in a rest",
+    ),
+    pytest.param(
+        ledger(asked(), ran(), rests=[RESTED], arrivals=[ran()] * 2),
+        None,
+        id="two in a rest",
+    ),
+    pytest.param(
+        ledger(asked(), ran(), rests=[RESTED], arrivals=[ran(at=99.4)] * 9),
+        None,
+        id="at the beginning of a rest",
+    ),
     pytest.param(ledger(asked(), ran()), None, id="all well"),
     pytest.param(ledger(asked(body=b"id-2 s1"), ran()), "MIXED", id="other body"),
     pytest.param(ledger(asked(body=b""), ran()), "MIXED", id="no body"),
