Send an interim answer in its turn

Cause: it was written when the head was read. Change: it is due from then on and sent when the answers before it are out; it is dropped when the body comes unasked.

Red before: test_interim_answer_waits_for_the_answer_before_it and test_body_that_comes_unasked_needs_no_interim_answer.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -12,6 +12,15 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="an interim answer waits for the answers before it",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="self.expects_continue and not self.answering and not self.waiting:",
+        new="self.expects_continue:",
+        test="testing/transport/test_http1_server.py"
+        "::TestOrder::test_interim_answer_waits_for_the_answer_before_it",
+    ),
     Mutant(
         promise="a leaving backend server gets no new work",
         mechanism="an instance that says it leaves is left out",
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -98,6 +98,7 @@
         self.chunked = False
         self.last_answer = False
         self.discarding = False
+        self.expects_continue = False
         self.closed = False
         self.active_at = boottime()
         self.writable = asyncio.Event()
@@ -197,6 +198,7 @@
         self.reading = InboundRequest(self, received_at=received_at)
         self.parts = []
         self.body_bytes = 0
+        self.expects_continue = False
         self.head_done = False
 
     def on_url(self, url: bytes) -> None:
@@ -230,11 +232,19 @@
             if lower == b"content-length" and int(value) > self.limits.max_body_bytes:
                 self.reject(413)
             elif lower == b"expect" and value.lower() == b"100-continue":
-                self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+                self.expects_continue = True
+        self.ask_for_body()
+
+    def ask_for_body(self) -> None:
+        """Send an interim answer that is due, once the answers before it are out."""
+        if self.expects_continue and not self.answering and not self.waiting:
+            self.expects_continue = False
+            self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, body: bytes) -> None:
         """Keep a part of the body, up to the limit."""
         self.framing_bytes = 0
+        self.expects_continue = False
         if self.reading is None:
             return
         self.body_bytes += len(body)
@@ -299,6 +309,8 @@
                     await self.close_after_answer()
                     return
                 self.active_at = boottime()
+            if not self.closed:
+                self.ask_for_body()
         finally:
             self.worker = None
 
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -264,3 +264,55 @@
         assert answer.startswith(b"HTTP/1.1 400")
         assert answer.count(b"HTTP/1.1") == 1
         assert not handler.bodies
+
+
+class TestOrder:
+    """Bytes of one answer at a time, and every answer whole to its end."""
+
+    POST = (
+        b"POST /b HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
+        b"Expect: 100-continue\r\n\r\n"
+    )
+    INTERIM = b"HTTP/1.1 100 Continue\r\n\r\n"
+
+    @pytest.fixture
+    def gate(self, server, handler) -> asyncio.Event:
+        """Return what ends the wait in the middle of each answer to a GET."""
+        gate = asyncio.Event()
+
+        async def answer(request: InboundRequest) -> None:
+            if request.method != b"GET":
+                await handler(request)
+                return
+            request.connection.start_stream(200, [], length=8)
+            await request.connection.send_part(b"half")
+            await gate.wait()
+            await request.connection.send_part(b"rest")
+            request.connection.end_stream()
+
+        server.handler = answer
+        return gate
+
+    async def test_interim_answer_waits_for_the_answer_before_it(self, caller, gate):
+        """Guards against an interim answer within the body of another one."""
+        caller.send(REQUEST)
+        assert (await receive(caller)).endswith(b"half")
+        caller.send(self.POST)
+        with pytest.raises(TimeoutError):
+            async with asyncio.timeout(0.2):
+                await asyncio.get_running_loop().sock_recv(caller, 4096)
+        gate.set()
+        received = b""
+        while not received.endswith(self.INTERIM):
+            received += await receive(caller)
+        assert received == b"rest" + self.INTERIM
+        caller.send(b"body")
+        assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+
+    async def test_body_that_comes_unasked_needs_no_interim_answer(self, caller, gate):
+        caller.send(REQUEST + self.POST + b"body")
+        gate.set()
+        received = b""
+        while received.count(b"HTTP/1.1 200") < 2:
+            received += await receive(caller)
+        assert self.INTERIM not in received
