Read on after the last answer until its caller has closed

Cause: the socket was closed as soon as the answer was in the kernel; requests that are unread in it, or arrive later, reset the connection.

Change: after each last answer the sending side ends, and what comes is read and dropped until the caller closes, or for 3 s. A stop waits for such connections.

Red before: test_answer_is_not_reset_by_requests_that_follow_it.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -12,6 +12,15 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="a connection is read until its caller has the last answer",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="            await asyncio.sleep(LINGER_S)\n        self.transport.close()",
+        new="            pass\n        self.transport.close()",
+        test="testing/transport/test_http1_server.py"
+        "::TestOrder::test_answer_is_not_reset_by_requests_that_follow_it",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="an interim answer waits for the answers before it",
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -29,8 +29,12 @@
 MAX_READ_AHEAD = 32
 """Requests read ahead on one connection before it stops reading."""
 
-LINGER_S = 1.0
-"""How long the rest of a rejected request is read before the connection closes."""
+LINGER_S = 3.0
+"""How long a caller may take to close after the last answer on a connection.
+
+Bytes that arrive meanwhile are read and dropped: closing a socket with unread bytes
+would reset it, and a slow caller would lose the rest of the answer.
+"""
 
 MOST_BODY_BYTES = 67_108_864
 """Bytes of bodies being read on all connections; more would exhaust a small VM."""
@@ -98,6 +102,7 @@
         self.chunked = False
         self.last_answer = False
         self.discarding = False
+        self.lingering = False
         self.expects_continue = False
         self.closed = False
         self.active_at = boottime()
@@ -336,12 +341,16 @@
         self.server.body_bytes -= size
 
     async def close_after_answer(self) -> None:
-        """Close once the answer is out, without resetting it."""
+        """End the sending side, and close when the caller has or should have."""
+        if self.transport is None or self.closed:
+            return
+        self.discarding = self.lingering = True
+        self.transport.resume_reading()
         await self.writable.wait()
-        if self.discarding:
+        if not self.transport.is_closing():
+            self.transport.write_eof()
             await asyncio.sleep(LINGER_S)
-        if self.transport is not None:
-            self.transport.close()
+        self.transport.close()
 
     # Answers, called by the handler
 
@@ -434,7 +443,12 @@
 
     @property
     def in_flight(self) -> int:
-        """Return the number of requests that are read, queued or being answered."""
+        """Return the number of requests that are read, queued or being answered.
+
+        A last answer counts until the caller has it.
+        """
+        if self.lingering:
+            return 1
         return self.answering + len(self.waiting) + (self.reading is not None)
 
     def close_idle(self) -> None:
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -11,6 +11,7 @@
 
 from masticdeck.clock import boottime
 from masticdeck.state.routes import CallerLimits
+from masticdeck.transport import http1_server
 from masticdeck.transport.http1_server import (
     MAX_TICK_DELAY_S,
     RESUME_S,
@@ -316,3 +317,40 @@
         while received.count(b"HTTP/1.1 200") < 2:
             received += await receive(caller)
         assert self.INTERIM not in received
+
+    async def test_answer_is_not_reset_by_requests_that_follow_it(
+        self, caller, server, gate
+    ):
+        """Guards against a close of a socket with unread requests, which resets it."""
+        caller.send(REQUEST)
+        assert (await receive(caller)).endswith(b"half")
+        server.begin_close()
+        [connection] = server.connections
+        connection.last_answer = True
+        for _ in range(20):
+            caller.send(REQUEST)
+            await asyncio.sleep(0.005)
+        gate.set()
+        await asyncio.sleep(0.05)
+        for _ in range(20):
+            caller.send(REQUEST)
+            await asyncio.sleep(0.005)
+        assert await receive(caller) == b"rest"
+        assert await receive(caller) == b""
+        assert server.in_flight == 1
+        caller.close()
+        async with asyncio.timeout(1):
+            while server.connections:
+                await asyncio.sleep(0.01)
+        assert server.in_flight == 0
+
+    async def test_caller_that_does_not_close_is_closed_after_a_while(
+        self, caller, server, handler, monkeypatch
+    ):
+        monkeypatch.setattr(http1_server, "LINGER_S", 0.2)
+        caller.send(REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
+        assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+        assert await receive(caller) == b""
+        async with asyncio.timeout(1):
+            while server.connections:
+                await asyncio.sleep(0.01)
