Keep a request's body in one buffer

Cause: an object for each chunk, beside which the joined body and the rendered request existed at the same time; the limit on bodies counts none of these.

Change: the body grows in one buffer and goes to the instance behind its head without a copy.

Red before: test_upload_in_tiny_chunks_takes_no_more_memory_than_its_bytes (8.6 MB for 0.4 MB).

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -12,6 +12,15 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a faulty caller harms no other request",
+        mechanism="a body is kept in one buffer",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="        self.body += body",
+        new="        self.body = [*self.body, body]  # type: ignore",
+        test="testing/transport/test_http1_server.py"
+        "::test_upload_in_tiny_chunks_takes_no_more_memory_than_its_bytes",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="a connection is read until its caller has the last answer",
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -13,7 +13,7 @@
 from masticdeck.ids import ServiceId
 from masticdeck.protocol.dialect import AnswerMarks, Headers
 from masticdeck.state.fleet import FleetInstance
-from masticdeck.transport.http1 import render_request
+from masticdeck.transport.http1 import render_request_head
 from masticdeck.transport.http1_client import (
     AnswerHead,
     ExchangeBroken,
@@ -238,11 +238,10 @@
             instance=self.instance.id,
         )
         method = self.request.method
-        message = render_request(
-            method, self.request.target, headers, self.request.body
-        )
+        body = self.request.body
+        head = render_request_head(method, self.request.target, headers, len(body))
         connection.begin(
-            message, bodyless=method == b"HEAD", accepts=self.matches_request
+            head, body, bodyless=method == b"HEAD", accepts=self.matches_request
         )
 
     def matches_request(self, status: int, headers: Headers) -> bool:
--- a/src/masticdeck/transport/http1.py
+++ b/src/masticdeck/transport/http1.py
@@ -16,17 +16,17 @@
     return b"\r\n".join(lines)
 
 
-def render_request(
-    method: bytes, target: bytes, headers: HeaderList, body: bytes
+def render_request_head(
+    method: bytes, target: bytes, headers: HeaderList, body_length: int
 ) -> bytes:
-    r"""Return a whole request whose body has a stated length.
+    r"""Return the head of a request whose body has a stated length.
 
-    >>> render_request(b"GET", b"/a", [(b"Host", b"a.example")], b"")
+    >>> render_request_head(b"GET", b"/a", [(b"Host", b"a.example")], 0)
     b'GET /a HTTP/1.1\r\nHost: a.example\r\n\r\n'
     """
-    if body or method in (b"POST", b"PUT", b"PATCH"):
-        headers = [*headers, (b"Content-Length", str(len(body)).encode())]
-    return render_head(method + b" " + target + b" HTTP/1.1", headers) + body
+    if body_length or method in (b"POST", b"PUT", b"PATCH"):
+        headers = [*headers, (b"Content-Length", str(body_length).encode())]
+    return render_head(method + b" " + target + b" HTTP/1.1", headers)
 
 
 def status_line(status: int, reason: bytes = b"") -> bytes:
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -22,6 +22,8 @@
 MAX_BUFFERED_BYTES = 262_144
 """Unread body bytes at which a connection stops reading."""
 
+SMALL_BODY_BYTES = 16_384
+
 MAX_HEAD_BYTES = 65_536
 """Longest head that an instance may send, in bytes."""
 
@@ -99,7 +101,14 @@
 
     # Exchange, called by one task at a time.
 
-    def begin(self, request: bytes, *, bodyless: bool, accepts: HeadFilter) -> None:
+    def begin(
+        self,
+        head: bytes,
+        body: bytes | bytearray = b"",
+        *,
+        bodyless: bool,
+        accepts: HeadFilter,
+    ) -> None:
         """Send a request; ``bodyless`` tells that no answer has a body."""
         if self.closed or self.transport is None:
             raise ExchangeBroken("the connection is closed")
@@ -110,7 +119,12 @@
         self.accepts = accepts
         self.parser = httptools.HttpResponseParser(self)
         self.head = self.loop.create_future()
-        self.transport.write(request)
+        # A large body is not copied; a small one goes into the packet of its head.
+        if len(body) <= SMALL_BODY_BYTES:
+            self.transport.write(head + body)
+        else:
+            self.transport.write(head)
+            self.transport.write(body)
 
     async def read_head(self) -> AnswerHead:
         """Wait for the head of the answer."""
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -69,7 +69,7 @@
     method: bytes = b""
     target: bytes = b""
     headers: HeaderList = field(default_factory=list)
-    body: bytes = b""
+    body: bytes | bytearray = b""
     received_at: float = 0.0
     keep_alive: bool = True
     reject_status: int = 0
@@ -89,8 +89,8 @@
         self.parser: Any = httptools.HttpRequestParser(self)
         self.reading: InboundRequest | None = None
         self.reading_since = 0.0
-        self.parts: list[bytes] = []
-        self.body_bytes = 0
+        # One buffer: an object for each chunk would take many times its bytes.
+        self.body = bytearray()
         self.held_bytes = 0
         self.head_bytes = 0
         self.framing_bytes = 0
@@ -201,8 +201,7 @@
         else:
             received_at = self.reading.received_at
         self.reading = InboundRequest(self, received_at=received_at)
-        self.parts = []
-        self.body_bytes = 0
+        self.body = bytearray()
         self.expects_continue = False
         self.head_done = False
 
@@ -252,8 +251,7 @@
         self.expects_continue = False
         if self.reading is None:
             return
-        self.body_bytes += len(body)
-        if self.body_bytes > self.limits.max_body_bytes:
+        if len(self.body) + len(body) > self.limits.max_body_bytes:
             self.reject(413)
             return
         if self.server.body_bytes + len(body) > MOST_BODY_BYTES:
@@ -261,7 +259,7 @@
             return
         self.server.body_bytes += len(body)
         self.held_bytes += len(body)
-        self.parts.append(body)
+        self.body += body
 
     def on_message_complete(self) -> None:
         """Queue the request for its turn."""
@@ -273,8 +271,7 @@
         self.head_done = False
         if request is None:
             return
-        request.body = b"".join(self.parts)
-        self.parts = []
+        request.body, self.body = self.body, bytearray()
         self.queue(request)
 
     # Requests in turn
@@ -296,8 +293,8 @@
         """Answer with an error in turn, and read no further requests."""
         request = self.reading or InboundRequest(self, received_at=boottime())
         self.reading = None
-        self.let_go(sum(map(len, self.parts)))
-        self.parts = []
+        self.let_go(len(self.body))
+        self.body = bytearray()
         self.discarding = True
         request.reject_status = status
         self.queue(request)
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -5,6 +5,7 @@
 import asyncio
 import socket
 import time
+import tracemalloc
 from collections.abc import AsyncIterator
 
 import pytest
@@ -354,3 +355,25 @@
         async with asyncio.timeout(1):
             while server.connections:
                 await asyncio.sleep(0.01)
+
+
+async def test_upload_in_tiny_chunks_takes_no_more_memory_than_its_bytes(
+    caller, server, handler
+):
+    """Guards against a process that runs out of memory over objects for chunks."""
+    [connection] = server.connections
+    connection.data_received(CHUNKED_REQUEST)
+    chunks = b"2\r\nab\r\n" * 5_000
+    count = 40
+    tracemalloc.start()
+    for _ in range(count):
+        connection.data_received(chunks)
+    held, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    size = count * 5_000 * 2
+    assert server.body_bytes == size
+    assert held < 2 * size
+    caller.send(b"0\r\n\r\n")
+    assert (await receive(caller)).startswith(b"HTTP/1.1 200")
+    assert handler.bodies == [b"ab" * (size // 2)]
+    assert not server.body_bytes
