Handle signals before the first slow import

Cause: the handlers stood after imports and set-up. Change: a module that imports next to nothing is called first; SIGHUP is ignored, as the settings are read later, and a stop ends with 0, as nothing has been accepted.

Red without it (mutant): test_reloads_during_the_start_do_not_end_the_process.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -12,6 +12,15 @@
 CHANGES = "testing/gateway/test_fleet_changes.py"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="a planned stop cuts no request",
+        mechanism="signals are handled before the first slow import",
+        file=f"{SOURCE}/programs/early_signals.py",
+        old="        signal.signal(signal.SIGHUP, signal.SIG_IGN)",
+        new="        pass",
+        test="testing/programs/test_gateway.py"
+        "::test_reloads_during_the_start_do_not_end_the_process",
+    ),
     Mutant(
         promise="a faulty caller harms no other request",
         mechanism="a body is kept in one buffer",
--- a/src/masticdeck/programs/gateway.py
+++ b/src/masticdeck/programs/gateway.py
@@ -3,37 +3,17 @@
 from __future__ import annotations
 
 import sys
-from dataclasses import dataclass
-from pathlib import Path
-from typing import Annotated
 
-import cappa
-
-from masticdeck.programs.gateway_process import run_gateway
-
-
-@cappa.command(name="masticdeck-gateway", description="Run one entry on the platform.")
-@dataclass(frozen=True)
-class GatewayCommand:
-    """Command line of the gateway program."""
-
-    settings: Annotated[
-        Path | None,
-        cappa.Arg(
-            short="-s",
-            long="--settings",
-            help="settings file (YAML); without it, the one in the environment",
-        ),
-    ] = None
-    check_settings: Annotated[
-        bool, cappa.Arg(long="--check-settings", help="check the settings and exit")
-    ] = False
+from masticdeck.programs.early_signals import handle_early_signals
 
 
 def main() -> None:
     """Run the gateway program."""
-    command = cappa.parse(GatewayCommand)
-    sys.exit(run_gateway(command.settings, check_only=command.check_settings))
+    handle_early_signals()
+    # Imported under the early handlers, as this takes some tenths of a second.
+    from masticdeck.programs.gateway_command import run_command
+
+    sys.exit(run_command())
 
 
 if __name__ == "__main__":
--- a/testing/programs/test_gateway.py
+++ b/testing/programs/test_gateway.py
@@ -6,6 +6,7 @@
 import itertools
 import json
 import os
+import re
 import signal
 import sys
 from collections.abc import AsyncIterator
@@ -332,3 +333,40 @@
     stderr_text = (await process.process.stderr.read()).decode()
     assert "entry" in stderr_text
     assert "zone" in stderr_text
+
+
+def ignores(pid: int, number: signal.Signals) -> bool:
+    """Return whether a process ignores a signal."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    [mask] = re.findall(r"SigIgn:\s*([0-9a-f]+)", status)
+    return bool(int(mask, 16) >> (number - 1) & 1)
+
+
+async def wait_for_early_handlers(process: GatewayProcess) -> None:
+    """Wait until the process ignores SIGHUP, as it does first of all."""
+    async with asyncio.timeout(TIMEOUT_S):
+        while not ignores(process.process.pid, signal.SIGHUP):
+            await asyncio.sleep(0.002)
+
+
+async def test_reloads_during_the_start_do_not_end_the_process(process):
+    """Guards against SIGHUP before its handler stands, which ends a process."""
+    await process.start()
+    await wait_for_early_handlers(process)
+    for _ in range(10):
+        process.process.send_signal(signal.SIGHUP)
+        await asyncio.sleep(0.05)
+    await process.wait_for("process_started")
+    await process.wait_for("feed_loaded")
+    process.process.send_signal(signal.SIGTERM)
+    assert await process.end() == 0
+
+
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.2])
+async def test_stop_during_the_start_ends_with_zero(process, delay_s):
+    await process.start()
+    await wait_for_early_handlers(process)
+    await asyncio.sleep(delay_s)
+    for _ in range(2):
+        process.process.send_signal(signal.SIGTERM)
+    assert await process.end() == 0
