--- a/testing/gateway/test_stop.py
+++ b/testing/gateway/test_stop.py
@@ -44,6 +44,22 @@
     return lambda: asyncio.create_task(gateway.leave())
 
 
+async def stop_during_a_stream(world, stopping):
+    """Begin a stop while a response is streamed; return the kept connection after it.
+
+    The response began before the stop and could not announce the close.
+    """
+    reader, writer = await world.connect()
+    writer.write(world.request_bytes("/s/long"))
+    await world.wait_for(Code.REQUEST_SENT)
+    stop = stopping()
+    async with asyncio.timeout(3):
+        response = await read_response(reader)
+    assert (response.status, response.body) == (200, LONG_BODY)
+    assert "connection" not in response.headers
+    return reader, writer, stop
+
+
 def refusals(world) -> list[str]:
     """Return the reasons of the refusals."""
     return [
@@ -59,18 +75,8 @@
 async def test_late_request_on_a_kept_connection_is_refused_at_once(
     world, stopping, target, method
 ):
-    """Guards against a request that is passed on and cut at the end of the stop.
-
-    The response before it began before the stop and could not announce the close.
-    """
-    reader, writer = await world.connect()
-    writer.write(world.request_bytes("/s/long"))
-    await world.wait_for(Code.REQUEST_SENT)
-    stop = stopping()
-    async with asyncio.timeout(3):
-        response = await read_response(reader)
-    assert (response.status, response.body) == (200, LONG_BODY)
-    assert "connection" not in response.headers
+    """Guards against a request that is passed on and cut at the end of the stop."""
+    reader, writer, stop = await stop_during_a_stream(world, stopping)
     writer.write(world.request_bytes(target, method=method, body=b"x"))
     async with asyncio.timeout(0.3):
         response = await read_response(reader)
@@ -83,11 +89,7 @@
 
 
 async def test_late_request_that_is_sure_to_end_is_served(world, stopping):
-    reader, writer = await world.connect()
-    writer.write(world.request_bytes("/s/long"))
-    await world.wait_for(Code.REQUEST_SENT)
-    stop = stopping()
-    await read_response(reader)
+    reader, writer, stop = await stop_during_a_stream(world, stopping)
     writer.write(
         world.request_bytes("/u/a", method="POST", body=b"x", remaining_ms=300)
     )
@@ -98,11 +100,7 @@
 
 
 async def test_late_request_that_hangs_gets_its_answer_before_the_end(world, stopping):
-    reader, writer = await world.connect()
-    writer.write(world.request_bytes("/s/long"))
-    await world.wait_for(Code.REQUEST_SENT)
-    stop = stopping()
-    await read_response(reader)
+    reader, writer, stop = await stop_during_a_stream(world, stopping)
     writer.write(
         world.request_bytes("/u/hang", method="POST", body=b"x", remaining_ms=300)
     )
