Allow the soak's requests to run by a version accepted since they were sent

A repeat has to follow the version in force, so the check was wrong: it knew only the version at the time of the request. It now also allows those accepted before the run, and as before no older one; three cases in test_ledger.py show both sides.

--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -165,7 +165,10 @@
         return found
 
     def old_versions(self) -> list[str]:
-        """A version is in force 2.5 s after its acceptance, in calm times."""
+        """A version is in force 2.5 s after its acceptance, in calm times.
+
+        A request that is repeated while a newer one comes into force runs by that.
+        """
         found = []
         for one in self.ran:
             asked = self.asked.get(one.id)
@@ -176,7 +179,8 @@
                 continue
             at, service = current[-1]
             settled = asked.sent_at > at + 2.5 and self.calm(at - 4, one.at)
-            if settled and one.service != service:
+            newer = {to for at, to in self.versions if asked.sent_at <= at < one.at}
+            if settled and one.service not in {service, *newer}:
                 found.append(f"CONFIG {one.id} ran at {one.service}, not {service}")
         return found
 
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -90,6 +90,25 @@
         "CONFIG",
         id="old version",
     ),
+    pytest.param(
+        ledger(asked(), ran(target="/v/a"), versions=[(97.0, "t"), (100.05, "s")]),
+        None,
+        id="newer version since it was sent",
+    ),
+    pytest.param(
+        ledger(asked(), ran(target="/v/a"), versions=[(97.0, "t"), (100.15, "s")]),
+        "CONFIG",
+        id="version newer than the run",
+    ),
+    pytest.param(
+        ledger(
+            asked(),
+            ran(target="/v/a"),
+            versions=[(90.0, "s"), (97.0, "t"), (100.05, "t")],
+        ),
+        "CONFIG",
+        id="older version in spite of a newer one",
+    ),
     pytest.param(
         ledger(asked(), ran(target="/v/a"), versions=[(98.0, "t")]),
         None,
