--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -666,8 +666,8 @@
             ],
             "limits": {
                 "max_header_bytes": 16384,
-                "max_body_bytes": 1048576,
-                "header_timeout": "5s",
+                "max_body_bytes": 67108864,
+                "header_timeout": "3s",
                 "idle_timeout": "15s",
             },
             **more,
