--- a/review/6/case.py
+++ b/review/6/case.py
@@ -88,7 +88,9 @@
         f" {max((late_ids[run.id] for run in ran), default=0.0):.1f} s after it",
         show=True,
     )
-    lab.record.add(f"answers with the kept key: {sorted(set(statuses[KEPT]))}", show=True)
+    lab.record.add(
+        f"answers with the kept key: {sorted(set(statuses[KEPT]))}", show=True
+    )
     lab.record.add(
         f"answers with the withdrawn key: {sorted(set(statuses[WITHDRAWN]))}", show=True
     )
--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -321,7 +321,11 @@
         items = self.state.items
         for row in fields["expected"]:
             if items.get(row["key"], {}).get("revision", 0) != row["revision"]:
-                known = [items[one["key"]] for one in fields["expected"] if one["key"] in items]
+                known = [
+                    items[one["key"]]
+                    for one in fields["expected"]
+                    if one["key"] in items
+                ]
                 return 412, {"items": known}
         for row in fields["puts"]:
             lease = row.get("lease", 0)
@@ -648,7 +652,9 @@
         await entry.start()
         return entry
 
-    def configure(self, version: int, routes: list[dict[str, Any]], **more: Any) -> float:
+    def configure(
+        self, version: int, routes: list[dict[str, Any]], **more: Any
+    ) -> float:
         """Write the operator's configuration; return the time of its acknowledgement."""
         services = sorted({route["service"] for route in routes})
         fields = {
@@ -734,7 +740,9 @@
             await entry.kill()
 
 
-def route(prefix: str, service: str, *, kind: str = "safe", **fields: Any) -> dict[str, Any]:
+def route(
+    prefix: str, service: str, *, kind: str = "safe", **fields: Any
+) -> dict[str, Any]:
     """Return a route of a configuration."""
     return {
         "name": f"r{prefix}",
@@ -751,7 +759,9 @@
     }
 
 
-def main(case: Callable[[Lab], Awaitable[int] | Coroutine[Any, Any, int]], script: str) -> int:
+def main(
+    case: Callable[[Lab], Awaitable[int] | Coroutine[Any, Any, int]], script: str
+) -> int:
     """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it did not run."""
 
     async def body(lab: Lab) -> int:
