--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -53,11 +53,12 @@
         """Return the seconds since the start of the script."""
         return time.monotonic() - self.started_at
 
-    def add(self, text: str, *, show: bool = False) -> None:
+    def add(self, text: str, *, show: bool = False, flush: bool = True) -> None:
         """Write a line with the present time."""
         line = f"{self.now():8.3f} {text}"
         self.file.write(line + "\n")
-        self.file.flush()
+        if flush:
+            self.file.flush()
         if show:
             print(line, flush=True)
 
@@ -368,7 +369,8 @@
 class Instance:
     """A backend instance that keeps the platform's rules.
 
-    A ``quiet`` one records no runs, for scripts with very many requests.
+    A ``quiet`` one keeps no runs in memory, for scripts with very many requests; they
+    are in the record like all others.
     """
 
     def __init__(
@@ -481,9 +483,10 @@
         )
         if not self.quiet:
             self.runs.append(run)
-            self.lab.record.add(
-                f"{'run' if is_own else 'reject'} id={run.id} at={self.name} {target}"
-            )
+        self.lab.record.add(
+            f"{'run' if is_own else 'reject'} id={run.id} at={self.name} {target}",
+            flush=not self.quiet,
+        )
         if not is_own:
             writer.write(self.head(run, 421, 0, {"Not-Executed": "1"}))
             return
@@ -676,7 +679,7 @@
     def configure(
         self, version: int, routes: list[dict[str, Any]], **more: Any
     ) -> float:
-        """Write the operator's configuration; return the time of its acknowledgement."""
+        """Write a configuration of the operator; return when it was acknowledged."""
         services = sorted({route["service"] for route in routes})
         fields = {
             "version": version,
@@ -783,7 +786,7 @@
 def main(
     case: Callable[[Lab], Awaitable[int] | Coroutine[Any, Any, int]], script: str
 ) -> int:
-    """Run a case; return 1 if the rule was broken, 0 if it held, 2 if it did not run."""
+    """Run a case and return its exit status: HELD, BROKEN or NOT_RUN."""
 
     async def body(lab: Lab) -> int:
         try:
@@ -800,6 +803,10 @@
             await lab.stop()
 
     async def run() -> int:
+        task = asyncio.current_task()
+        assert task is not None
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         with tempfile.TemporaryDirectory(prefix="masticdeck-review-") as temporary:
             lab = Lab(Path(script).resolve().parent, Path(temporary))
             result = await body(lab)
@@ -813,6 +820,6 @@
 
     try:
         return asyncio.run(run())
-    except Exception as error:
+    except (Exception, asyncio.CancelledError) as error:
         print(f"could not run: {error!r}")
         return NOT_RUN
