--- a/bench/standins/platform.py
+++ b/bench/standins/platform.py
@@ -3,7 +3,8 @@
 ``POST /control`` with a JSON object sets faults: ``down`` refuses every call,
 ``slow_s`` delays them, ``lose_answers`` applies that many writes and then
 drops the connection, ``vms`` replaces the list of VMs, ``stale`` makes reads
-answer with the state of the moment at which it was set.
+answer with the state of the moment at which it was set. ``restore`` sets the service
+back to an earlier copy of its state, in its next era, which each answer then states.
 """
 
 from __future__ import annotations
@@ -12,7 +13,6 @@
 import asyncio
 import base64
 import copy
-import itertools
 import os
 from collections import Counter
 from dataclasses import dataclass, field
@@ -50,6 +50,7 @@
     leases: dict[str, Lease] = field(default_factory=dict)
     changes: list[dict[str, Any]] = field(default_factory=list)
     revision: int = 0
+    next_lease: int = 1
     vms: list[dict[str, str]] = field(default_factory=list)
     faults: dict[str, Any] = field(default_factory=dict)
     calls: Counter[str] = field(default_factory=Counter)
@@ -70,7 +71,7 @@
     def __init__(self) -> None:
         self.state = State()
         self.stale: State | None = None
-        self.lease_numbers = itertools.count(1)
+        self.era = 0
         self.changed = asyncio.Condition()
 
     async def handle(self, request: web.Request) -> web.StreamResponse:
@@ -93,7 +94,17 @@
             return web.Response(text="{not json")
         return web.json_response(answer)
 
+    def restore(self, earlier: State) -> None:
+        """Come back from a copy: what was written since is gone, and leases are."""
+        self.state = copy.deepcopy(earlier)
+        self.era += 1
+
     async def call(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
+        """Carry out one call; the answer states the era once there is one."""
+        answer = await self.carry_out(method, body)
+        return {**answer, "era": self.era} if self.era else answer
+
+    async def carry_out(self, method: str, body: dict[str, Any]) -> dict[str, Any]:
         """Carry out one call."""
         match method:
             case "get":
@@ -116,7 +127,8 @@
         """Carry out one call about leases."""
         now = asyncio.get_running_loop().time()
         if method == "lease/grant":
-            name = f"lease-{next(self.lease_numbers)}"
+            name = f"lease-{self.state.next_lease}"
+            self.state.next_lease += 1
             self.state.leases[name] = Lease(body["ttl_s"], now + body["ttl_s"])
             return {"lease": name}
         lease = self.state.leases.get(body["lease"])
--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -20,7 +20,54 @@
 QUEUEING = "testing/coordination/test_queueing.py"
 QUEUEING_SOURCE = f"{SOURCE}/coordination/queueing"
 
+RESTORATION = "testing/coordination/test_restoration.py"
+RESTORED = "testing/gateway/test_store_restored.py"
+RESTORED_PROMISE = "a store that comes back from a copy undoes nothing that is known"
+
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="positions order by era",
+        file=f"{SOURCE}/protocol/positions.py",
+        old="        self.era = era\n        return era",
+        new="        return NO_ERA",
+        test=f"{RESTORED}"
+        "::test_key_withdrawn_after_the_store_came_back_from_a_copy_is_refused",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="an older record of the copy is held back",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="            if verdict is Verdict.HOLD:",
+        new="            if False:",
+        test=f"{RESTORATION}::test_value_in_use_after_a_restoration",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="a record that is missing in the copy is kept",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="            and not is_unrestored(item, revision)\n",
+        new="",
+        test=f"{RESTORATION}::test_value_in_use_after_a_restoration",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="leases end with their era",
+        file=f"{SOURCE}/protocol/positions.py",
+        old="        if granted_in < era:",
+        new="        if False:",
+        test="testing/platform/test_store.py"
+        "::TestEras::test_lease_of_an_earlier_era_renews_and_ends_no_other",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="conditions end with their era",
+        file=f"{SOURCE}/protocol/positions.py",
+        old="        if position and era_of(position) < self.era:",
+        new="        if False:",
+        test="testing/platform/test_store.py"
+        "::TestEras::test_condition_of_an_earlier_era_is_never_sent",
+    ),
     Mutant(
         promise="a planned stop cuts no request",
         mechanism="signals are handled before the first slow import",
--- a/scripts/run_model.py
+++ b/scripts/run_model.py
@@ -25,6 +25,7 @@
     "acceptance": ("NO_COMPARE", "NO_WINDOW", "BLIND_RETRY", "TRUST_LATE_VETO"),
     "rollout": ("NO_FLOOR", "NO_CALLER_VERSION", "SERVE_WITHOUT_VERSION"),
     "owner": ("NO_FENCING", "COUNT_FROM_ANSWER"),
+    "restoration": ("NO_ERA", "COPY_WINS", "FENCE_BY_COUNTER"),
     "shares": (
         "NO_CHECK_AT_USE",
         "COUNT_FROM_RECEIPT",
--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,7 +19,7 @@
 import cappa
 import uvloop
 
-from soak.faults import faults, pause_past_revocation
+from soak.faults import faults, pause_past_revocation, restore_store
 from soak.world import ROOT, World, temporary_folder
 
 CALLERS_PER_ENTRY = 4
@@ -38,6 +38,13 @@
     keys: Annotated[
         bool, cappa.Arg(long="--keys/--no-keys", help="workspaces and keys")
     ] = False
+    restorations: Annotated[
+        bool,
+        cappa.Arg(
+            long="--restorations/--no-restorations",
+            help="the store comes back from older copies",
+        ),
+    ] = False
 
 
 async def play(seed: int, folder: Path, command: Soak) -> dict[str, object]:
@@ -52,6 +59,8 @@
             changing = asyncio.create_task(world.keys.keep_changing(world))
             changes.append(changing)
             running.append(asyncio.create_task(pause_past_revocation(world)))
+        if command.restorations:
+            changes.append(asyncio.create_task(restore_store(world)))
         world.spoils_answers = True
         names = list(faults)
         until = time.monotonic() + command.seconds
@@ -60,6 +69,9 @@
             running.append(asyncio.create_task(fault(world)))
             await asyncio.sleep(world.random.uniform(0.1, 1.5))
         await asyncio.gather(*running)
+        if command.restorations:
+            changes.pop().cancel()
+            world.store.refuse_with = None
         world.spoils_answers = False
         await asyncio.sleep(RECOVERY_S)
         calm_from = time.monotonic()
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -117,6 +117,28 @@
         await asyncio.gather(*callers, return_exceptions=True)
 
 
+async def restore_store(world: World) -> None:
+    """Let the store come back from a copy a few seconds old, again and again.
+
+    Those who live write again what is lost. It plays beside the registered faults, so
+    that those of a seed are as before.
+    """
+    while True:
+        await asyncio.sleep(world.restore_random.uniform(0.0, 2.0))
+        earlier = world.store.copy()
+        await asyncio.sleep(world.restore_random.uniform(0.5, 4.0))
+        async with disturbance(world):
+            world.store.refuse_with = 503
+            await asyncio.sleep(world.restore_random.uniform(0.1, 1.0))
+            lost = world.store.copy()
+            world.store.restore(earlier)
+            world.store.refuse_with = None
+            try:
+                await asyncio.sleep(world.restore_random.uniform(0.0, 0.3))
+            finally:
+                world.write_again(lost, since=earlier.revision)
+
+
 @faults.register("stop")
 async def stop(world: World) -> None:
     """Stop an entry as planned, with a repeated signal, and start it again."""
--- a/soak/world.py
+++ b/soak/world.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import base64
 import itertools
 import json
 import os
@@ -31,7 +32,7 @@
     settings_fields,
 )
 from testing.platform.standin_instance import StandinInstance
-from testing.platform.standin_store import StandinStore
+from testing.platform.standin_store import StandinStore, StoreCopy
 from testing.platform.workspaces import RECEIVED_KEY, RECEIVED_WORKSPACE
 
 ROOT = Path(__file__).resolve().parent.parent
@@ -44,6 +45,9 @@
 HEARTBEAT_S = 1.0
 """Interval at which a cold instance writes its record until it is warm."""
 
+OUTSIDE_PREFIXES = ("op/", "servers/")
+"""Keys that the operator and the instances write."""
+
 REFUSED_PART = 0.05
 """Part of the requests during the faults that an instance refuses."""
 
@@ -120,6 +124,7 @@
     ) -> None:
         self.random = random.Random(seed)
         self.answer_random = random.Random(f"answers {seed}")
+        self.restore_random = random.Random(f"restorations {seed}")
         self.spoils_answers = False
         self.folder = folder
         self.entry_count = entries
@@ -127,6 +132,7 @@
         self.keys = Keys(seed, self.ledger) if has_keys else None
         self.ledger.has_workspaces = has_keys
         self.store = StandinStore()
+        self.store.era = 1
         self.entries: list[Entry] = []
         self.instances: list[StandinInstance] = []
         self.proxies: dict[str, FaultProxy] = {}
@@ -188,6 +194,23 @@
         self.store.write("op/config", value)
         self.ledger.versions.append((time.monotonic(), service))
 
+    def write_again(self, lost: StoreCopy, *, since: int) -> None:
+        """Let the operator and the instances write again what a restoration undid.
+
+        What they have written since it, after revision ``since``, is newer.
+        """
+        written = {
+            event["key"] for event in self.store.history if event["revision"] > since
+        }
+        for key in {*self.store.items, *lost.items} - written:
+            if not key.startswith(OUTSIDE_PREFIXES):
+                continue
+            known, item = self.store.items.get(key), lost.items.get(key)
+            if item is None:
+                self.store.remove(key)
+            elif known is None or known["value"] != item["value"]:
+                self.store.write(key, base64.b64decode(item["value"]))
+
     async def add_instance(
         self, name: str, service: str, *, zone: str = "", cold_ms: int = 0
     ) -> StandinInstance:
--- a/src/masticdeck/coordination/entry_registration.py
+++ b/src/masticdeck/coordination/entry_registration.py
@@ -18,7 +18,9 @@
 from masticdeck.coordination.fleet_view import ENTRY_PREFIX, encode_entry
 from masticdeck.errors import MasticdeckError, StoreConflict
 from masticdeck.events import Code, EventLog
-from masticdeck.protocol.store import LeaseId, Store
+from masticdeck.ids import Era, LeaseId
+from masticdeck.protocol.positions import lease_era
+from masticdeck.protocol.store import Store
 from masticdeck.state.fleet import FleetEntry
 
 LEASE_TTL_S = 4.0
@@ -55,6 +57,8 @@
         self.lease: LeaseId | None = None
         self.renewed_at = -math.inf
         self.registered_at = math.inf
+        self.has_ended = False
+        self.last_registered_at = math.inf
         self.retry_s = INITIAL_RETRY_S
 
     def is_held(self) -> bool:
@@ -62,7 +66,20 @@
 
         Its lifetime counts from before the call that granted or renewed it.
         """
-        return self.lease is not None and boottime() - self.renewed_at < LEASE_TTL_S
+        return not self.has_ended and self.lease is not None and self.is_recent()
+
+    def is_recent(self) -> bool:
+        """Return whether the lease was renewed in its lifetime, ended or not."""
+        return boottime() - self.renewed_at < LEASE_TTL_S
+
+    def begin_era(self, era: Era) -> None:
+        """Take in that a lease of an earlier era of the store has ended.
+
+        The record is written again at the time of the next renewal, so that all entries
+        do so spread over ``RENEW_INTERVAL_S``. The others keep it in use until then.
+        """
+        if self.lease is not None and lease_era(self.lease) < era:
+            self.has_ended = True
 
     def held_since(self) -> float:
         """Return the boot time since which the record certainly exists.
@@ -111,11 +128,13 @@
         """Write the record under a new lease."""
         self.registered_at = math.inf
         requested_at = boottime()
-        self.lease = await self.store.grant_lease(LEASE_TTL_S)
+        previous, self.lease = self.lease, await self.store.grant_lease(LEASE_TTL_S)
         key = f"{ENTRY_PREFIX}{self.entry.id}"
         await self.store.put(key, encode_entry(self.entry), lease=self.lease)
-        self.renewed_at = requested_at
-        self.registered_at = boottime()
+        if not (previous and self.is_recent() and is_earlier(previous, self.lease)):
+            self.last_registered_at = boottime()
+        self.renewed_at, self.has_ended = requested_at, False
+        self.registered_at = self.last_registered_at
         self.events.emit(Code.ENTRY_REGISTERED, entry=self.entry.id, lease=self.lease)
 
     async def renew(self) -> None:
@@ -132,7 +151,15 @@
                 if unlisted_renewals > MAX_UNLISTED_RENEWALS:
                     return
             except StoreConflict:
-                self.renewed_at = -math.inf
+                self.has_ended = True
                 return
             except MasticdeckError:
                 await asyncio.sleep(INITIAL_RETRY_S)
+
+
+def is_earlier(lease: LeaseId, later: LeaseId) -> bool:
+    """Return whether a lease is of an earlier era of the store than another one.
+
+    The others then keep the record in use until it is written again.
+    """
+    return lease_era(lease) < lease_era(later)
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -4,6 +4,9 @@
 grow with the number of records. Each record has a revision; a late or repeated
 change never replaces a newer one. An entry that the store rejects follows the
 replica of another entry instead.
+
+Revisions order by the store's era first. In a new era, the store has come back from an
+older copy; ``restoration`` decides what of it replaces what was known before.
 """
 
 from __future__ import annotations
@@ -14,15 +17,21 @@
 import random
 from collections import deque
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol, final
 
 from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
+from masticdeck.coordination.restoration.restoration import (
+    Restoration,
+    Verdict,
+    is_unrestored,
+)
 from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import Revision
-from masticdeck.protocol.store import Change, Changes, KeyValue, Listing, Store
+from masticdeck.ids import Era, Revision
+from masticdeck.protocol.positions import counter_of, era_of
+from masticdeck.protocol.store import ABSENT, Change, Changes, KeyValue, Listing, Store
 
 WATCH_WAIT_S = 1.2
 """Longest wait of a watch; keeps the age of the replica below two seconds."""
@@ -51,6 +60,9 @@
 MIN_OUTAGE_S = 2.5
 """Time without contact to the store after which records may have expired."""
 
+LONGEST_RESTORATION_S = 60.0
+"""Time after the beginning of an era in which records may lapse or fall due."""
+
 MAX_RECENT_CHANGES = 2_000
 """Recent changes kept for followers; one that lacks more gets a snapshot."""
 
@@ -106,10 +118,17 @@
     Of changes that follow each other quickly, or come during an outage, only the last
     one is applied. ``on_unseen_record_deleted`` handlers get the keys of records
     that existed meanwhile and never reached the listener.
+
+    ``on_era_begun`` handlers get the era when the first records of a new one arrive,
+    ``on_record_lapsed`` handlers the key of each record that was not written again in
+    time, and what became of it.
     """
 
-    def __init__(self, listener: FeedListener) -> None:
+    def __init__(
+        self, listener: FeedListener, restoration: Restoration | None = None
+    ) -> None:
         self.listener = listener
+        self.restoration = restoration or Restoration()
         self.records: dict[str, KeyValue] = {}
         self.deletion_revisions: dict[str, Revision] = {}
         self.revision = Revision(0)
@@ -122,6 +141,31 @@
         self.outage_ended_at = float("-inf")
         self.waiters: set[asyncio.Future[None]] = set()
         self.on_unseen_record_deleted: list[Callable[[str], None]] = []
+        self.on_era_begun: list[Callable[[Era], None]] = []
+        self.on_record_lapsed: list[Callable[[str, str], None]] = []
+
+    @property
+    def era(self) -> Era:
+        """Return the era of the store that the replica is of."""
+        return era_of(self.revision)
+
+    def is_unrestored(self, key: str) -> bool:
+        """Return whether a known record was not written in the present era yet."""
+        record = self.records.get(key)
+        return record is not None and is_unrestored(record, self.revision)
+
+    def revision_in_store(self, key: str) -> Revision:
+        """Return the revision that the store is known to have of a key, 0 without one.
+
+        It differs from that of the record in use while a restoration holds a value of
+        the copy back.
+        """
+        held = self.restoration.held.get(key)
+        if held is not None:
+            return held.revision
+        if key not in self.records or self.is_unrestored(key):
+            return ABSENT
+        return self.records[key].revision
 
     async def wait_newer(self, revision: Revision, timeout_s: float) -> None:
         """Wait until the replica is newer than ``revision``, or for ``timeout_s``.
@@ -199,12 +243,19 @@
         self.wake_waiters()
 
     def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
-        """Replace all records by a full listing as of ``revision``."""
+        """Replace all records by a full listing as of ``revision``.
+
+        Records of an earlier era that are not listed remain for the time in which they
+        may be written again.
+        """
+        self.begin_era_of(revision)
         listed_records = {item.key: item for item in items}
         removed_keys = [
             key
             for key, item in self.records.items()
-            if key not in listed_records and item.revision <= revision
+            if key not in listed_records
+            and item.revision <= revision
+            and not is_unrestored(item, revision)
         ]
         for key in removed_keys:
             self.apply_change(Change(key, None, revision))
@@ -213,6 +264,46 @@
         self.advance_to(revision)
         self.recent_changes.clear()
         self.recent_changes_after = self.revision
+        self.end_restoration(boottime())
+
+    def begin_era_of(self, revision: Revision) -> None:
+        """Prepare for the first records of a new era.
+
+        Leases may end in the moments after it, as after an outage, although those who
+        held them live.
+        """
+        if not self.revision or era_of(revision) <= self.era:
+            return
+        now = boottime()
+        self.restoration.begin(revision, now)
+        self.outage_ended_at = now
+        for handler in self.on_era_begun:
+            handler(era_of(revision))
+
+    def end_restoration(self, now: float) -> None:
+        """Apply what has become of records that nobody has written again in time.
+
+        Followers do the same by themselves.
+        """
+        if now - self.restoration.began_at > LONGEST_RESTORATION_S:
+            return
+        lapsed = [
+            record
+            for record in self.records.values()
+            if self.restoration.has_lapsed(record, self.revision, now)
+        ]
+        for record in lapsed:
+            removal = Change(record.key, None, record.revision)
+            self.remove_record(removal, maybe_expired=False)
+            self.notify_lapsed(record.key, "removed")
+        for change in self.restoration.due_changes(now):
+            self.use_change(change)
+            self.notify_lapsed(change.key, "older value used")
+
+    def notify_lapsed(self, key: str, reason: str) -> None:
+        """Notify listeners of what became of a record that was not written again."""
+        for handler in self.on_record_lapsed:
+            handler(key, reason)
 
     def apply_changes(self, changes: Iterable[Change], revision: Revision) -> None:
         """Apply the changes up to ``revision``.
@@ -221,38 +312,67 @@
         behind replays some of them, and a record that has been removed since would
         be in use again.
         """
+        self.begin_era_of(revision)
         known_revision = self.revision
         for change in newest_by_key(changes):
             if change.revision > known_revision:
                 self.apply_change(change)
         self.advance_to(revision)
+        self.end_restoration(boottime())
 
     def apply_change(self, change: Change) -> None:
-        """Apply one change unless a newer one of its key was applied."""
+        """Apply one change unless a newer one of its key was applied.
+
+        A value of a new era may be held back or only confirm the known one.
+        """
         record = self.records.get(change.key)
         applied_revision = self.deletion_revisions.get(change.key, Revision(0))
         applied_revision = applied_revision if record is None else record.revision
         if change.revision <= applied_revision:
             return
-        if len(self.recent_changes) == self.recent_changes.maxlen:
-            self.recent_changes_after = self.recent_changes[0].revision
-        self.recent_changes.append(change)
-        if change.value is None:
-            self.deletion_revisions[change.key] = change.revision
-            if self.records.pop(change.key, None) is None:
-                for handler in self.on_unseen_record_deleted:
-                    handler(change.key)
+        if applied_revision and era_of(applied_revision) < era_of(change.revision):
+            verdict = self.restoration.judge(change, record)
+            if verdict is Verdict.HOLD:
+                self.restoration.held[change.key] = change
                 return
-        else:
-            self.deletion_revisions.pop(change.key, None)
-            self.records[change.key] = KeyValue(
-                change.key, change.value, change.revision
-            )
+            if verdict is Verdict.ADOPT and record is not None:
+                self.restoration.held.pop(change.key, None)
+                self.note_recent_change(change)
+                self.records[change.key] = replace(record, revision=change.revision)
+                return
+        self.note_recent_change(change)
+        self.use_change(change)
+
+    def use_change(self, change: Change) -> None:
+        """Apply a change, whatever was known of its key."""
+        self.restoration.held.pop(change.key, None)
         maybe_expired = boottime() - self.outage_ended_at < MIN_OUTAGE_S
+        if change.value is None:
+            self.remove_record(change, maybe_expired=maybe_expired)
+            return
+        self.deletion_revisions.pop(change.key, None)
+        self.records[change.key] = KeyValue(change.key, change.value, change.revision)
         self.listener.record_changed(
             change.key, change.value, maybe_expired=maybe_expired
         )
 
+    def note_recent_change(self, change: Change) -> None:
+        """Keep a change for followers that lack it."""
+        if len(self.recent_changes) == self.recent_changes.maxlen:
+            self.recent_changes_after = self.recent_changes[0].revision
+        self.recent_changes.append(change)
+
+    def remove_record(self, removal: Change, *, maybe_expired: bool) -> None:
+        """Remove a record, which may never have been seen."""
+        record = self.records.pop(removal.key, None)
+        self.deletion_revisions[removal.key] = removal.revision
+        self.restoration.record_removal(removal, record)
+        if record is None:
+            for handler in self.on_unseen_record_deleted:
+                handler(removal.key)
+            return
+        self.listener.record_changed(removal.key, None, maybe_expired=maybe_expired)
+
     def update_after(self, revision: Revision, now: float) -> FeedUpdate:
         """Return the records that a follower at ``revision`` lacks."""
         age_s = self.age_s(now)
@@ -395,8 +515,10 @@
         self.has_listing = True
         self.events.emit(
             Code.FEED_LOADED,
-            revision=self.replica.revision,
+            era=self.replica.era,
+            revision=counter_of(self.replica.revision),
             records=len(self.replica.records),
+            held=len(self.replica.restoration.held),
             is_stale=changes is not None,
         )
 
@@ -418,6 +540,7 @@
                 level=logging.WARNING,
                 error=type(error).__name__,
                 detail=error,
-                revision=self.replica.revision,
+                era=self.replica.era,
+                revision=counter_of(self.replica.revision),
                 age_s=round(self.replica.age_s(boottime()), 3),
             )
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -43,13 +43,20 @@
 )
 from masticdeck.coordination.watcher_selector import SourceClass, WatcherSelector
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import EntryId, Revision, ZoneId
+from masticdeck.ids import EntryId, Era, Revision, ZoneId
 from masticdeck.protocol.generated.feed_grpc import FeedBase, FeedStub
 from masticdeck.protocol.generated.feed_pb2 import (
     FeedPartMessage,
     FeedRecord,
     FeedRequest,
 )
+from masticdeck.protocol.positions import (
+    NO_ERA,
+    counter_of,
+    era_of,
+    pack_position,
+    with_era,
+)
 from masticdeck.protocol.records import RecordInvalid
 from masticdeck.protocol.store import Change
 from masticdeck.state.fleet import FleetEntry
@@ -120,7 +127,7 @@
         request = await stream.recv_message()
         if request is None:
             return
-        sent_revision = Revision(request.revision)
+        sent_revision = with_era(request.revision, request.era, self.replica.era)
         compress = request.accepts_compressed
         probe = ReceivedProbe()
         probe.receive(request.probe)
@@ -129,7 +136,7 @@
             while True:
                 message = self.build_message(sent_revision, probe, compress=compress)
                 await stream.send_message(message)
-                sent_revision = Revision(message.revision)
+                sent_revision = pack_position(Era(message.era), message.revision)
                 await self.replica.wait_newer(sent_revision, KEEPALIVE_INTERVAL_S)
         finally:
             reader.cancel()
@@ -147,11 +154,16 @@
     def encode_records(
         self, update: FeedUpdate, after: Revision, *, compress: bool
     ) -> list[FeedRecord]:
-        """Return the encoded records of an update for a follower at ``after``."""
+        """Return the encoded records of an update for a follower at ``after``.
+
+        A record of the time before the store stated eras has no position in one.
+        """
         basis = (update.is_snapshot, after, update.revision, compress)
         if self.encoded_for != basis:
             self.encoded_records = [
-                encode_record(change, compress=compress) for change in update.changes
+                encode_record(change, era_of(update.revision), compress=compress)
+                for change in update.changes
+                if era_of(change.revision) or not era_of(update.revision)
             ]
             self.encoded_for = basis
         return self.encoded_records
@@ -236,7 +248,10 @@
         """Follow a source until it fails, is outranked or is no longer needed."""
         channel = Channel(source.peer_host, source.peer_port)
         self.events.emit(
-            Code.FEED_FOLLOWING, source=source.id, revision=self.replica.revision
+            Code.FEED_FOLLOWING,
+            source=source.id,
+            era=self.replica.era,
+            revision=counter_of(self.replica.revision),
         )
         is_outranked = False
         try:
@@ -249,7 +264,8 @@
                 source=source.id,
                 error=type(error).__name__,
                 detail=error,
-                revision=self.replica.revision,
+                era=self.replica.era,
+                revision=counter_of(self.replica.revision),
                 age_s=round(self.replica.age_s(boottime()), 3),
             )
         finally:
@@ -265,7 +281,8 @@
             async with asyncio.timeout(SILENCE_TIMEOUT_S):
                 await stream.send_message(
                     FeedRequest(
-                        revision=self.replica.revision,
+                        revision=counter_of(self.replica.revision),
+                        era=self.replica.era,
                         accepts_compressed=True,
                         probe=0 if probes is None else probes.add(boottime()),
                     ),
@@ -301,6 +318,8 @@
             update = self.apply_message(message, probes)
             if update.age_s > MAX_REPLICA_AGE_S or update.hops >= MAX_HOPS:
                 break
+            if era_of(update.revision) < self.replica.era:
+                break
             self.replica.set_hops(update.hops + 1)
             if self.needs_proof() and not sends_probes:
                 break
@@ -314,7 +333,7 @@
 
     def apply_message(self, message: FeedPartMessage, probes: SentProbes) -> FeedUpdate:
         """Apply the update that a message holds, and return it."""
-        update = self.concealed(decode_update(message))
+        update = self.concealed(decode_update(message, self.replica.era))
         self.replica.apply_update(update, boottime())
         self.replica.prove(probes.proved_at(update.probe, update.proof_age_s))
         return update
@@ -358,16 +377,20 @@
             probe.receive(request.probe)
 
 
-def encode_record(change: Change, *, compress: bool) -> FeedRecord:
-    """Return the message that holds a changed record."""
+def encode_record(
+    change: Change, part_era: Era = NO_ERA, *, compress: bool
+) -> FeedRecord:
+    """Return the message that holds a changed record in a part of an era."""
+    era = era_of(change.revision)
     value = b"" if change.value is None else change.value
     compress = compress and len(value) >= MIN_COMPRESSED_BYTES
     return FeedRecord(
         key=change.key,
         value=zlib.compress(value, COMPRESSION_LEVEL) if compress else value,
-        revision=change.revision,
+        revision=counter_of(change.revision),
         deleted=change.value is None,
         compressed=compress,
+        era=NO_ERA if era == part_era else era,
     )
 
 
@@ -376,7 +399,8 @@
     return FeedPartMessage(
         whole=update.is_snapshot,
         records=records,
-        revision=update.revision,
+        revision=counter_of(update.revision),
+        era=era_of(update.revision),
         age_ms=round(min(update.age_s, 1e6) * 1000),
         outage_ended_ms=encode_outage_age_ms(update.outage_ended_s),
         hops=update.hops,
@@ -399,12 +423,22 @@
     return 0 if ended_s == math.inf else max(1, round(min(ended_s, 1e6) * 1000))
 
 
-def decode_record(record: FeedRecord) -> Change:
-    """Return the change that a message holds, or raise RecordInvalid."""
+def decode_record(record: FeedRecord, part_era: Era = NO_ERA) -> Change:
+    """Return the change that a message of an era holds, or raise RecordInvalid."""
     value = None if record.deleted else record.value
     if value is not None and record.compressed:
         value = decompress(value)
-    return Change(record.key, value, Revision(record.revision))
+    return Change(
+        record.key, value, decode_position(record.revision, record.era, part_era)
+    )
+
+
+def decode_position(counter: int, era: int, assumed_era: Era) -> Revision:
+    """Return the position that a message states, or raise RecordInvalid."""
+    try:
+        return with_era(counter, era, assumed_era)
+    except ValueError as error:
+        raise RecordInvalid(str(error)) from None
 
 
 def decompress(data: bytes) -> bytes:
@@ -419,12 +453,17 @@
     return value
 
 
-def decode_update(message: FeedPartMessage) -> FeedUpdate:
-    """Return the update that a message holds, or raise RecordInvalid."""
+def decode_update(message: FeedPartMessage, assumed_era: Era = NO_ERA) -> FeedUpdate:
+    """Return the update that a message holds, or raise RecordInvalid.
+
+    An entry of an older version states no era; its records are taken to be of the
+    ``assumed_era``.
+    """
+    era = Era(message.era) or assumed_era
     return FeedUpdate(
         message.whole,
-        tuple(decode_record(record) for record in message.records),
-        Revision(message.revision),
+        tuple(decode_record(record, era) for record in message.records),
+        decode_position(message.revision, message.era, assumed_era),
         message.age_ms / 1000,
         message.outage_ended_ms / 1000 or math.inf,
         message.hops,
--- a/src/masticdeck/coordination/fleet_view.py
+++ b/src/masticdeck/coordination/fleet_view.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 
 from masticdeck.clock import boottime
+from masticdeck.coordination.restoration.rules import RULES, WriterOrder
 from masticdeck.coordination.zone_returns import RETURN_PREFIX, decode_return
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, InstanceId, ZoneId
@@ -282,6 +283,15 @@
         raise RecordInvalid(f"{type(error).__name__}: {error}"[:200]) from None
 
 
+@RULES.register(ENTRY_PREFIX)
+def read_entry_order(value: bytes) -> WriterOrder | None:
+    """Return the start of the process that wrote an entry's record."""
+    try:
+        return (int(json.loads(value)["incarnation"]),)
+    except INVALID_RECORD_ERRORS:
+        return None
+
+
 def decode_port(value: object) -> int:
     """Return a port, or raise ValueError or TypeError."""
     if isinstance(value, bool) or not isinstance(value, int):
--- a/src/masticdeck/coordination/ownership.py
+++ b/src/masticdeck/coordination/ownership.py
@@ -21,9 +21,10 @@
 from masticdeck.errors import MasticdeckError, StoreConflict, StoreUnavailable
 from masticdeck.events import Code
 from masticdeck.hookspec import hookimpl
-from masticdeck.ids import EntryId, FencingToken, MemberState, RegionId
+from masticdeck.ids import EntryId, FencingToken, LeaseId, MemberState, RegionId
 from masticdeck.node import Node
-from masticdeck.protocol.store import ABSENT, LeaseId
+from masticdeck.protocol.positions import era_of
+from masticdeck.protocol.store import ABSENT
 
 MAX_CANDIDATES = 3
 RENEWALS_PER_TTL = 3
@@ -148,8 +149,19 @@
         return max(MIN_DRIFT_MARGIN_S, self.ttl_s * DRIFT_FRACTION)
 
     def is_valid(self) -> bool:
-        """Return whether this node holds a valid lease at this moment."""
-        return self.token != 0 and boottime() < self.valid_until
+        """Return whether this node holds a valid lease at this moment.
+
+        A lease ends with the era of the store in which it was granted.
+        """
+        return (
+            self.token != 0
+            and boottime() < self.valid_until
+            and self.is_of_present_era()
+        )
+
+    def is_of_present_era(self) -> bool:
+        """Return whether the key was acquired in the newest era of the store."""
+        return era_of(self.token) >= self.node.store.era
 
     def may_act_without_store(self, max_expired_s: float) -> bool:
         """Return whether an expired lease may still be used in a store outage.
@@ -162,6 +174,7 @@
         now = boottime()
         return (
             self.token != 0
+            and self.is_of_present_era()
             and self.failed_call_started_at > self.valid_until
             and now - self.last_failure_at < MAX_FAILURE_AGE_S
             and now - self.valid_until < max_expired_s
--- a/src/masticdeck/coordination/quotas/allocation.py
+++ b/src/masticdeck/coordination/quotas/allocation.py
@@ -14,11 +14,18 @@
 from typing import final
 
 from masticdeck.coordination.quotas.terms import MAX_BUDGET
+from masticdeck.coordination.restoration.rules import RULES, WriterOrder
 from masticdeck.ids import EntryId, WorkspaceId
 from masticdeck.protocol.records import INVALID_RECORD_ERRORS, RecordInvalid
 
 ALLOCATION_KEY = "masticdeck/quotas"
 
+HELD_ALLOCATION_S = 15.0
+"""Seconds after a new era of the store in which an older allocation is not used.
+
+By then the entry that divides the budgets has written the known one again.
+"""
+
 
 @final
 @dataclass(frozen=True, slots=True)
@@ -63,8 +70,11 @@
 Allocation = Mapping[WorkspaceId, WorkspaceShares]
 
 
-def encode_allocation(allocation: Allocation) -> bytes:
-    """Return the record of an allocation."""
+def encode_allocation(allocation: Allocation, number: int = 0) -> bytes:
+    """Return the record of an allocation.
+
+    ``number`` is greater than those of the allocations that it follows.
+    """
     entries = sorted(
         {entry for shares in allocation.values() for entry in shares.shares}
     )
@@ -79,10 +89,20 @@
         ]
         for workspace, shares in allocation.items()
     }
-    fields = {"entries": entries, "workspaces": workspaces}
+    fields = {"entries": entries, "workspaces": workspaces, "number": number}
     return json.dumps(fields, separators=(",", ":")).encode()
 
 
+@RULES.register(ALLOCATION_KEY, held_s=HELD_ALLOCATION_S, keeps_missing=True)
+def read_allocation_order(value: bytes) -> WriterOrder | None:
+    """Return the number of an allocation, None for one of an older version."""
+    try:
+        number = json.loads(value)["number"]
+    except INVALID_RECORD_ERRORS:
+        return None
+    return (number,) if isinstance(number, int) else None
+
+
 def decode_allocation(value: bytes) -> Allocation:
     """Return the allocation of a record, or raise RecordInvalid."""
     try:
--- a/src/masticdeck/coordination/quotas/allocator.py
+++ b/src/masticdeck/coordination/quotas/allocator.py
@@ -26,6 +26,7 @@
     WorkspaceShares,
     decode_allocation,
     encode_allocation,
+    read_allocation_order,
 )
 from masticdeck.coordination.quotas.demand import (
     ALLOCATE_INTERVAL_S,
@@ -41,6 +42,7 @@
 from masticdeck.errors import MasticdeckError, StoreConflict
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, Revision, WorkspaceId
+from masticdeck.protocol.positions import counter_of, era_of
 from masticdeck.protocol.records import RecordInvalid
 from masticdeck.protocol.store import ABSENT, Store
 from masticdeck.state.workspaces import RateLimit, WorkspaceTable
@@ -119,6 +121,7 @@
         self.is_allocator = is_allocator
         self.reports = DemandReports()
         self.history = AllocationHistory()
+        self.number = 0
         self.changed_at = -math.inf
         self.acting_since: float | None = None
         self.turn = 0
@@ -157,14 +160,19 @@
             return
         following = self.next_allocation(current, table, now)
         if following is None:
-            return
+            if not self.replica.is_unrestored(ALLOCATION_KEY):
+                return
+            following = current
         self.changed_at = now
-        value = encode_allocation(following)
+        self.number += 1
+        value = encode_allocation(following, self.number)
         written = await self.store.put(ALLOCATION_KEY, value, expect=revision)
         self.history.record_written(written, following, self.clock())
         self.events.emit(
             Code.QUOTAS_ALLOCATED,
-            revision=written,
+            era=era_of(written),
+            revision=counter_of(written),
+            number=self.number,
             workspaces=len(following),
             members=len(self.members()),
             reports=len(self.reports.received_at),
@@ -192,9 +200,11 @@
         )
 
     def observe(self, now: float) -> tuple[Allocation, Revision]:
-        """Return the present allocation and its revision.
+        """Return the present allocation and the revision that a write replaces.
 
-        A record that is older than this entry's last write has not arrived yet.
+        A record that is older than this entry's last write has not arrived yet. After
+        the store came back from a copy, the known allocation counts until the next one
+        is written, which replaces whatever the copy has.
         """
         record = self.replica.records.get(ALLOCATION_KEY)
         if record is None:
@@ -203,6 +213,8 @@
                 self.history.deleted_at = deleted_at
                 self.history.record_lost(ABSENT, now)
         elif record.revision > self.history.revision:
+            order = read_allocation_order(record.value)
+            self.number = max(self.number, order[0] if order else 0)
             try:
                 allocation = decode_allocation(record.value)
             except RecordInvalid:
@@ -212,7 +224,10 @@
         current = self.history.with_reserved(
             now, self.terms().reuse_after_s, self.reports.confirmations
         )
-        return current, self.history.revision
+        revision = self.history.revision
+        if revision and era_of(revision) < self.replica.era:
+            revision = self.replica.revision_in_store(ALLOCATION_KEY)
+        return current, revision
 
     def use_table(self, table: WorkspaceTable) -> None:
         """Take over the limits of a configuration."""
--- a/src/masticdeck/coordination/quotas/history.py
+++ b/src/masticdeck/coordination/quotas/history.py
@@ -17,6 +17,7 @@
 )
 from masticdeck.coordination.quotas.demand import Confirmation
 from masticdeck.ids import EntryId, Revision, WorkspaceId
+from masticdeck.protocol.positions import era_of
 from masticdeck.protocol.store import ABSENT
 
 
@@ -55,6 +56,7 @@
         """Take in the present record, seen at boot time ``now``."""
         if revision == self.revision:
             return
+        earlier = self.earlier_era(revision, now)
         reserved = {
             workspace: WorkspaceShares(
                 shares.budget,
@@ -65,9 +67,18 @@
             )
             for workspace, shares in allocation.items()
         }
-        self.replaced = [ReplacedAllocation(reserved, revision, now)]
+        self.replaced = [*earlier, ReplacedAllocation(reserved, revision, now)]
         self.revision, self.current = revision, allocation
 
+    def earlier_era(self, revision: Revision, now: float) -> list[ReplacedAllocation]:
+        """Return the known allocations if a record is of a later era than them.
+
+        The store may have lost those that the record does not know of.
+        """
+        if not self.revision or era_of(self.revision) == era_of(revision):
+            return []
+        return [*self.replaced, ReplacedAllocation(self.current, revision, now)]
+
     def record_lost(self, revision: Revision, now: float) -> None:
         """Take in that the present record is unreadable, or was deleted.
 
--- a/src/masticdeck/coordination/quotas/reports.py
+++ b/src/masticdeck/coordination/quotas/reports.py
@@ -23,7 +23,7 @@
 )
 from masticdeck.coordination.quotas.limiter import QuotaLimiter
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import EntryId, Revision, WorkspaceId
+from masticdeck.ids import EntryId, Era, Revision, WorkspaceId
 from masticdeck.metrics import Metrics
 from masticdeck.protocol.generated.quotas_grpc import QuotasBase, QuotasStub
 from masticdeck.protocol.generated.quotas_pb2 import (
@@ -31,6 +31,7 @@
     QuotaReport,
     QuotaReportReply,
 )
+from masticdeck.protocol.positions import NO_ERA, counter_of, era_of, with_era
 from masticdeck.state.fleet import Fleet, FleetEntry
 
 if TYPE_CHECKING:
@@ -47,10 +48,16 @@
 
 @final
 class QuotaService(QuotasBase):
-    """Takes in the reports of other entries."""
+    """Takes in the reports of other entries.
 
-    def __init__(self, reports: DemandReports) -> None:
+    ``era`` returns the store's era, to which a report of an older version belongs.
+    """
+
+    def __init__(
+        self, reports: DemandReports, era: Callable[[], Era] = lambda: NO_ERA
+    ) -> None:
         self.reports = reports
+        self.era = era
 
     async def Report(  # noqa: N802
         self, stream: Stream[QuotaReport, QuotaReportReply]
@@ -71,7 +78,9 @@
                 EntryId(report.entry),
                 requests,
                 boottime(),
-                confirmation=Confirmation(Revision(report.revision), admitted)
+                confirmation=Confirmation(
+                    with_era(report.revision, report.era, self.era()), admitted
+                )
                 if report.is_complete
                 else None,
             )
@@ -184,7 +193,8 @@
                 )
                 for workspace, requests in demand.items()
             ],
-            revision=revision,
+            revision=counter_of(revision),
+            era=era_of(revision),
             is_complete=self.limiter.is_complete(now),
         )
         try:
--- a/src/masticdeck/coordination/zone_returns.py
+++ b/src/masticdeck/coordination/zone_returns.py
@@ -14,6 +14,7 @@
 from collections.abc import Callable
 
 from masticdeck.clock import walltime
+from masticdeck.coordination.restoration.rules import RULES, WriterOrder
 from masticdeck.errors import MasticdeckError
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import ZoneId
@@ -76,3 +77,12 @@
         return float(json.loads(value)["cold_until_ms"]) / 1000 - walltime()
     except INVALID_RECORD_ERRORS as error:
         raise RecordInvalid(f"{type(error).__name__}: {error}"[:200]) from None
+
+
+@RULES.register(RETURN_PREFIX, keeps_missing=True)
+def read_return_order(value: bytes) -> WriterOrder | None:
+    """Return the end of a zone's cold time, in milliseconds since the epoch."""
+    try:
+        return (int(json.loads(value)["cold_until_ms"]),)
+    except INVALID_RECORD_ERRORS:
+        return None
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -49,9 +49,10 @@
 from masticdeck.gateway.forwarder import Forwarder
 from masticdeck.gateway.inspection import Inspection
 from masticdeck.gateway.settings import Address, GatewaySettings
-from masticdeck.ids import Revision
+from masticdeck.ids import Era, Revision
 from masticdeck.metrics import Metrics
 from masticdeck.protocol.dialect import Dialect
+from masticdeck.protocol.positions import counter_of
 from masticdeck.protocol.records import RecordDecoder
 from masticdeck.protocol.store import Store
 from masticdeck.state.fleet import Fleet, FleetEntry
@@ -182,6 +183,10 @@
             ),
         )
         self.fleet_view.on_zone_returned.append(self.zone_return_recorder.record_return)
+        self.store = platform.store
+        self.era_begun_at: float | None = None
+        self.replica.on_era_begun.append(self.begin_era)
+        self.replica.on_record_lapsed.append(self.log_lapsed_record)
         self.entry_order = EntryOrder(
             settings.entry, members=self.directory.selected_entry_ids
         )
@@ -244,7 +249,12 @@
         self.peer_server = PeerServer(
             settings.peer.host,
             settings.peer.port,
-            [FeedService(self.replica), QuotaService(self.quota_allocator.reports)],
+            [
+                FeedService(self.replica),
+                QuotaService(
+                    self.quota_allocator.reports, era=lambda: self.replica.era
+                ),
+            ],
         )
         self.forwarder = Forwarder(
             fleet=self.fleet,
@@ -339,6 +349,26 @@
             and first_allocator(self.fleet.entries) == self.settings.entry
         )
 
+    def begin_era(self, era: Era) -> None:
+        """Give up what depends on the eras of the store before this one."""
+        self.era_begun_at = boottime()
+        self.store.note_era(era)
+        self.entry_registration.begin_era(era)
+        self.metrics.count("store_eras")
+        self.events.emit(
+            Code.STORE_ERA_BEGUN,
+            level=logging.WARNING,
+            era=era,
+            previous_era=self.replica.era,
+            previous_revision=counter_of(self.replica.revision),
+            records=len(self.replica.records),
+        )
+
+    def log_lapsed_record(self, key: str, reason: str) -> None:
+        """Log what became of a record that was not written again in a new era."""
+        self.metrics.count("store_records_lapsed")
+        self.events.emit(Code.RECORD_LAPSED, key=key, reason=reason)
+
     def allocation_revision(self) -> Revision:
         """Return the revision of the allocation in use, 0 without one."""
         record = self.replica.records.get(ALLOCATION_KEY)
--- a/src/masticdeck/gateway/inspection.py
+++ b/src/masticdeck/gateway/inspection.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from masticdeck.clock import boottime
+from masticdeck.protocol.positions import counter_of
 from masticdeck.state.fleet import FleetInstance, InstanceState
 from masticdeck.transport.http1_server import InboundRequest
 
@@ -56,7 +57,12 @@
         return {
             "entry": gateway.own_entry.id,
             "version": 0 if routes is None else routes.version,
-            "revision": gateway.replica.revision,
+            "era": gateway.replica.era,
+            "era_age_s": None
+            if gateway.era_begun_at is None
+            else round(now - gateway.era_begun_at, 3),
+            "held_records": len(gateway.replica.restoration.held),
+            "revision": counter_of(gateway.replica.revision),
             "age_s": round(min(gateway.replica.age_s(now), 1e6), 3),
             "routes": [] if routes is None else self.describe_routes(),
             "instances": [
--- a/src/masticdeck/ids.py
+++ b/src/masticdeck/ids.py
@@ -23,11 +23,21 @@
 Version = NewType("Version", int)
 """Number of an accepted configuration; 0 means that none was ever accepted."""
 
+Era = NewType("Era", int)
+"""Number of times that the platform's store came back from a copy; 0 is not stated."""
+
 Revision = NewType("Revision", int)
-"""Modification number of a key in the platform's store; 0 means absent."""
+"""Position in the history of the platform's store; 0 means absent.
+
+It holds the era in its upper bits and the store's own counter below them, so that
+positions order by era first. ``masticdeck.protocol.positions`` converts them.
+"""
+
+LeaseId = NewType("LeaseId", str)
+"""Name of a lease in the platform's store, with the era in which it was granted."""
 
 FencingToken = NewType("FencingToken", int)
-"""Store revision of an owner's key; a later owner always holds a larger one."""
+"""Position of the write of an owner's key; a later owner always holds a larger one."""
 
 
 class Rank(Enum):
--- a/src/masticdeck/platform/records.py
+++ b/src/masticdeck/platform/records.py
@@ -8,10 +8,12 @@
 
 import ipaddress
 import json
+import math
 import re
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from masticdeck.coordination.restoration.rules import RULES, WriterOrder
 from masticdeck.ids import (
     InstanceId,
     RegionId,
@@ -114,6 +116,25 @@
         )
 
 
+@RULES.register(CONFIG_KEY, held_s=math.inf, keeps_missing=True)
+def read_config_order(value: bytes) -> WriterOrder | None:
+    """Return the version of a configuration; no lower one follows it."""
+    try:
+        return (whole(json.loads(value)["version"]),)
+    except INVALID_RECORD_ERRORS:
+        return None
+
+
+@RULES.register(INSTANCE_PREFIX)
+def read_instance_order(value: bytes) -> WriterOrder | None:
+    """Return the start of an instance and the count of its writes since then."""
+    try:
+        fields = json.loads(value)
+        return whole(fields["born"]), whole(fields["status"]["sequence"])
+    except INVALID_RECORD_ERRORS:
+        return None
+
+
 def guarded(decode: Callable[[dict[str, Any]], T], value: bytes) -> T:
     """Decode a JSON record; any shape that does not fit is RecordInvalid."""
     try:
--- a/src/masticdeck/programs/ctl_output.py
+++ b/src/masticdeck/programs/ctl_output.py
@@ -126,7 +126,7 @@
         if service is None or service in one["services"]
     ]
     head = (
-        f"{view['entry']}: version {view['version']}, revision {view['revision']}, "
+        f"{view['entry']}: version {view['version']}, {describe_position(view)}, "
         f"current {view['age_s']} s ago, {len(view['entries'])} entries"
     )
     rows = [[one[column] for column in columns] for one in instances]
@@ -136,6 +136,20 @@
     )
 
 
+def describe_position(view: dict[str, Any]) -> str:
+    """Return the revision of an entry's view, and since when it is in its era.
+
+    >>> describe_position({"revision": 17, "era": 2, "era_age_s": 3.5})
+    'revision 17 of era 2 (begun 3.5 s ago)'
+    """
+    position = f"revision {view['revision']}"
+    if view.get("era"):
+        position += f" of era {view['era']}"
+    if view.get("era_age_s") is not None:
+        position += f" (begun {view['era_age_s']:.1f} s ago)"
+    return position
+
+
 def split_text(route: dict[str, Any]) -> str:
     """Return a route's services with their weights."""
     parts = route["services"].items()
--- a/src/masticdeck/protocol/store.py
+++ b/src/masticdeck/protocol/store.py
@@ -12,7 +12,7 @@
 import logging
 from collections.abc import Mapping
 from dataclasses import dataclass
-from typing import Any, NewType, Protocol, final
+from typing import Any, Protocol, final
 
 from aiohttp import ClientError, ClientResponse, ClientSession, ClientTimeout
 
@@ -20,14 +20,20 @@
     MasticdeckError,
     StoreAnswerInvalid,
     StoreConflict,
+    StoreHistoryLost,
     StoreUnavailable,
 )
 from masticdeck.events import Code, EventLog
-from masticdeck.ids import Revision
+from masticdeck.ids import Era, LeaseId, Revision
+from masticdeck.protocol.positions import (
+    NO_ERA,
+    EraTracker,
+    counter_of,
+    era_of,
+    pack_position,
+)
 from masticdeck.transport.answers import AnswerConnector, AnswerTooLong, read_bounded
 
-LeaseId = NewType("LeaseId", str)
-
 ABSENT = Revision(0)
 CALL_TIMEOUT_S = 2.0
 MAX_VALUE_BYTES = 1_048_576
@@ -77,9 +83,18 @@
 class Store(Protocol):
     """Compare-and-swap, leases and watches.
 
-    Every method raises StoreUnavailable when no answer came in time.
+    Every method raises StoreUnavailable when no answer came in time. Revisions are
+    positions, which order by the store's era first. What depends on a revision or a
+    lease of an earlier era raises StoreConflict, and a watch StoreHistoryLost.
     """
 
+    @property
+    def era(self) -> Era:
+        """Return the newest era that the store is known to have reached."""
+
+    def note_era(self, era: Era) -> None:
+        """Take in that the store has reached an era, as another entry says."""
+
     async def get(self, key: str) -> KeyValue | None:
         """Return the key's value, or None when it is absent."""
 
@@ -157,8 +172,18 @@
         super().__init__(events)
         self.url = url
         self.timeout_s = timeout_s
+        self.eras = EraTracker(events)
         self.session: ClientSession | None = None
 
+    @property
+    def era(self) -> Era:
+        """Return the newest era that the store is known to have reached."""
+        return self.eras.era
+
+    def note_era(self, era: Era) -> None:
+        """Take in that the store has reached an era."""
+        self.eras.advance_to(era)
+
     async def start(self) -> None:
         """Open the HTTP session."""
         self.session = ClientSession(connector=AnswerConnector())
@@ -171,13 +196,15 @@
     async def get(self, key: str) -> KeyValue | None:
         """Return the key's value, or None when it is absent."""
         answer = await self.call("get", {"key": key})
-        return decode_item(answer["item"]) if answer.get("item") else None
+        item = answer.get("item")
+        return decode_item(item, answer_era(answer)) if item else None
 
     async def list(self, prefix: str, *, allow_stale: bool = False) -> Listing:
         """Return every key below a prefix."""
         answer = await self.call("list", {"prefix": prefix})
-        items = tuple(decode_item(item) for item in answer["items"])
-        return Listing(items, Revision(int(answer["revision"])))
+        era = answer_era(answer)
+        items = tuple(decode_item(item, era) for item in answer["items"])
+        return Listing(items, decode_position(answer["revision"], era))
 
     async def put(
         self,
@@ -188,40 +215,62 @@
         lease: LeaseId | None = None,
     ) -> Revision:
         """Write a key and return its new revision."""
-        text = base64.b64encode(value).decode("ascii")
-        body = {"key": key, "value": text, "expect": expect, "lease": lease}
-        return Revision(int((await self.call("put", body))["revision"]))
+        body = {
+            "key": key,
+            "value": base64.b64encode(value).decode("ascii"),
+            "expect": None if expect is None else self.eras.counter_expected(expect),
+            "lease": None if lease is None else self.eras.lease_number(lease),
+        }
+        answer = await self.call("put", body)
+        era = answer_era(answer)
+        self.eras.check_condition(expect or ABSENT, era)
+        if lease is not None:
+            self.eras.check_lease(lease, era)
+        return decode_position(answer["revision"], era)
 
     async def delete(self, key: str, *, expect: Revision | None = None) -> None:
         """Delete a key."""
-        await self.call("delete", {"key": key, "expect": expect})
+        counter = None if expect is None else self.eras.counter_expected(expect)
+        answer = await self.call("delete", {"key": key, "expect": counter})
+        self.eras.check_condition(expect or ABSENT, answer_era(answer))
 
     async def grant_lease(self, ttl_s: float) -> LeaseId:
         """Create a lease."""
-        return LeaseId(str((await self.call("lease/grant", {"ttl_s": ttl_s}))["lease"]))
+        answer = await self.call("lease/grant", {"ttl_s": ttl_s})
+        return self.eras.name_lease(str(answer["lease"]), answer_era(answer))
 
     async def renew_lease(self, lease: LeaseId) -> None:
         """Extend a lease."""
-        await self.call("lease/renew", {"lease": lease})
+        number = self.eras.lease_number(lease)
+        answer = await self.call("lease/renew", {"lease": number})
+        self.eras.check_lease(lease, answer_era(answer))
 
     async def revoke_lease(self, lease: LeaseId) -> None:
         """End a lease."""
-        await self.call("lease/revoke", {"lease": lease})
+        await self.call("lease/revoke", {"lease": self.eras.lease_number(lease)})
 
     async def watch(self, prefix: str, after: Revision, *, wait_s: float) -> Changes:
         """Wait for changes below a prefix."""
-        body = {"prefix": prefix, "after": after, "wait_s": wait_s}
+        self.eras.advance_to(era_of(after))
+        body = {"prefix": prefix, "after": counter_of(after), "wait_s": wait_s}
         answer = await self.call("watch", body, timeout_s=wait_s + self.timeout_s)
-        changes = tuple(decode_change(item) for item in answer["changes"])
-        return Changes(changes, Revision(int(answer["revision"])))
+        era = answer_era(answer)
+        check_watched_era(after, era)
+        changes = tuple(decode_change(item, era) for item in answer["changes"])
+        return Changes(changes, decode_position(answer["revision"], era))
 
     async def call(
         self, method: str, body: Mapping[str, Any], *, timeout_s: float | None = None
     ) -> Any:
         """Send one call and return the decoded answer."""
+        sent_in = self.eras.era
         try:
             status, text = await self.send(method, body, timeout_s or self.timeout_s)
             answer = decode_answer(method, status, text)
+            stated = answer.get("era")
+            answer["era"] = self.eras.read(
+                None if stated is None else str(stated), sent_in
+            )
         except StoreUnavailable as error:
             self.note(available=False, detail=error.detail)
             raise
@@ -280,20 +329,42 @@
         raise StoreAnswerInvalid(f"{self.method}: field {name!r} is missing")
 
 
-def decode_item(item: Mapping[str, Any]) -> KeyValue:
+def answer_era(answer: Mapping[str, Any]) -> Era:
+    """Return the era of a decoded answer; a store without eras states none."""
+    return Era(answer.get("era", NO_ERA))
+
+
+def check_watched_era(after: Revision, era: Era) -> None:
+    """Raise StoreHistoryLost if a watch continued in another era than it began.
+
+    The changes after a position of one era are not those after its counter in another.
+    """
+    if after and era_of(after) != era:
+        raise StoreHistoryLost(f"era {era} after {era_of(after)}")
+
+
+def decode_position(value: Any, era: Era) -> Revision:
+    """Return a position of an answer, or raise StoreAnswerInvalid."""
+    try:
+        return pack_position(era, int(value))
+    except (TypeError, ValueError) as error:
+        raise StoreAnswerInvalid(str(error)[:200]) from None
+
+
+def decode_item(item: Mapping[str, Any], era: Era = NO_ERA) -> KeyValue:
     """Return an item of an answer, or raise StoreAnswerInvalid."""
     try:
         value = base64.b64decode(item["value"], validate=True)
-        return KeyValue(str(item["key"]), value, Revision(int(item["revision"])))
+        return KeyValue(str(item["key"]), value, decode_position(item["revision"], era))
     except (KeyError, TypeError, ValueError):
         raise StoreAnswerInvalid("an item lacks key, value or revision") from None
 
 
-def decode_change(item: Mapping[str, Any]) -> Change:
+def decode_change(item: Mapping[str, Any], era: Era = NO_ERA) -> Change:
     """Return a change of an answer, or raise StoreAnswerInvalid."""
     try:
         raw = item["value"]
         value = None if raw is None else base64.b64decode(raw, validate=True)
-        return Change(str(item["key"]), value, Revision(int(item["revision"])))
+        return Change(str(item["key"]), value, decode_position(item["revision"], era))
     except (KeyError, TypeError, ValueError):
         raise StoreAnswerInvalid("a change lacks key, value or revision") from None
--- a/testing/coordination/helpers.py
+++ b/testing/coordination/helpers.py
@@ -16,9 +16,10 @@
 from masticdeck.errors import StoreConflict, StoreUnavailable
 from masticdeck.events import EventLog
 from masticdeck.hookspec import create_hooks
-from masticdeck.ids import EntryId, Incarnation, Revision
+from masticdeck.ids import EntryId, Incarnation, LeaseId, Revision
 from masticdeck.node import Node
-from masticdeck.protocol.store import Change, Changes, KeyValue, LeaseId, Listing
+from masticdeck.protocol.positions import NO_ERA
+from masticdeck.protocol.store import Change, Changes, KeyValue, Listing
 from masticdeck.state.deployment import Deployment
 from masticdeck.transport.peers import PeerChannels
 
@@ -46,6 +47,7 @@
         self.down = False
         self.lose_answers = 0
         self.calls = 0
+        self.era = NO_ERA
 
     def check_available(self) -> None:
         self.calls += 1
--- a/testing/coordination/test_ownership.py
+++ b/testing/coordination/test_ownership.py
@@ -2,19 +2,23 @@
 
 from __future__ import annotations
 
+import copy
 from typing import Any
 
 import pytest
 
+from bench.standins.platform import Platform
 from masticdeck.coordination import ownership as ownership_module
 from masticdeck.coordination.ownership import Fence, Ownership, rendezvous_order
 from masticdeck.ids import EntryId, FencingToken
+from masticdeck.protocol.positions import counter_of
 from testing.coordination.helpers import (
     MemoryStore,
     make_deployment,
     make_node,
     wait_until,
 )
+from testing.memory_store import MemoryStore as HttpMemoryStore
 
 TTL_S = 0.6
 
@@ -92,6 +96,33 @@
     await owner.stop()
 
 
+async def test_owner_of_an_earlier_era_is_fenced_although_its_counter_was_higher():
+    """Guards against two owners after the store came back from an older copy."""
+    platform = Platform()
+    stores = [HttpMemoryStore(platform), HttpMemoryStore(platform)]
+    deployment = make_deployment(3)
+    first, second = (
+        Ownership(make_node(deployment, entry, store), "region/x", ttl_s=30.0)
+        for entry, store in zip(("entry-1", "entry-2"), stores, strict=True)
+    )
+    earlier = copy.deepcopy(platform.state)
+    for number in range(20):
+        await stores[0].put(f"unrelated/{number}", b"")
+    await first.start()
+    await wait_until(first.is_valid)
+    platform.restore(earlier)
+    await second.start()
+    await wait_until(second.is_valid)
+    assert counter_of(second.token) < counter_of(first.token)
+    fence = Fence()
+    assert fence.accept("region/x", second.token)
+    assert not fence.accept("region/x", first.token)
+    stores[0].note_era(stores[1].era)
+    assert not first.is_valid()
+    for owner in (first, second):
+        await owner.stop()
+
+
 def test_fence_refuses_a_lower_token():
     fence = Fence()
     assert fence.accept("a", FencingToken(5))
--- a/testing/coordination/test_quotas.py
+++ b/testing/coordination/test_quotas.py
@@ -10,7 +10,8 @@
 
 import pytest
 
-from masticdeck.clock import HybridClock
+from masticdeck.clock import HybridClock, boottime
+from masticdeck.coordination.feed import RecordReplica
 from masticdeck.coordination.quotas import allocator as allocator_module
 from masticdeck.coordination.quotas import limiter as limiter_module
 from masticdeck.coordination.quotas.allocation import (
@@ -20,6 +21,7 @@
     WorkspaceShares,
     decode_allocation,
     encode_allocation,
+    read_allocation_order,
 )
 from masticdeck.coordination.quotas.allocator import QuotaAllocator
 from masticdeck.coordination.quotas.demand import Confirmation
@@ -32,7 +34,8 @@
 from masticdeck.coordination.quotas.terms import QuotaTerms
 from masticdeck.errors import StoreConflict, StoreUnavailable
 from masticdeck.events import EventLog
-from masticdeck.ids import EntryId, Revision, WorkspaceId
+from masticdeck.ids import EntryId, Era, Revision, WorkspaceId
+from masticdeck.protocol.positions import NO_ERA, pack_position
 from masticdeck.protocol.records import RecordInvalid
 from masticdeck.protocol.store import KeyValue
 from masticdeck.state.workspaces import RateLimit, Workspace, WorkspaceTable
@@ -93,10 +96,14 @@
     records: dict[str, KeyValue] = field(default_factory=dict)
     deletion_revisions: dict[str, Revision] = field(default_factory=dict)
     proved_at: float = 0.0
+    era: Era = NO_ERA
 
     def proof_age_s(self, now):
         return now - self.proved_at
 
+    def is_unrestored(self, key):
+        return False
+
 
 class SimulatedEntry:
     """An entry with its limiter and its allocator, and what it has admitted."""
@@ -622,3 +629,58 @@
         )
     }
     assert decode_allocation(encode_allocation(allocation)) == allocation
+
+
+async def test_known_allocation_is_written_over_the_older_one_of_a_restored_store():
+    """Guards against a budget that is divided twice after a restoration."""
+
+    def at(era: int, counter: int) -> Revision:
+        return pack_position(Era(era), counter)
+
+    entries = (EntryId("e0"), EntryId("e1"))
+
+    def divided(allowances: tuple[int, int], number: int) -> bytes:
+        shares = {
+            entry: Share(allowance, allowance)
+            for entry, allowance in zip(entries, allowances, strict=True)
+        }
+        return encode_allocation({WORKSPACE: WorkspaceShares(500, shares)}, number)
+
+    in_use: list[bytes | None] = []
+    written: list[tuple[bytes, Revision]] = []
+
+    class Listener:
+        def record_changed(self, key, value, *, maybe_expired) -> None:
+            in_use.append(value)
+
+    class Writer:
+        async def put(self, key, value, *, expect=None, lease=None):
+            written.append((value, expect))
+            return at(2, 26)
+
+    replica = RecordReplica(Listener())
+    known, older = divided((100, 400), 7), divided((400, 100), 5)
+    replica.replace([KeyValue(ALLOCATION_KEY, known, at(1, 40))], at(1, 41))
+    allocator = QuotaAllocator(
+        Writer(),
+        replica,
+        EventLog("test", HybridClock()),
+        terms=lambda: TERMS,
+        workspaces=lambda: WorkspaceTable(
+            [(Workspace(id=WORKSPACE, limit=RateLimit(100.0, 0.0)), [])]
+        ),
+        members=lambda: frozenset(entries),
+        is_allocator=lambda: True,
+    )
+    now = boottime()
+    await allocator.allocate_once(now)
+    replica.replace([KeyValue(ALLOCATION_KEY, older, at(2, 20))], at(2, 25))
+    assert in_use == [known]
+    replica.prove(now + allocator_module.TAKEOVER_PAUSE_S)
+    await allocator.allocate_once(now + allocator_module.TAKEOVER_PAUSE_S)
+    [(value, expect)] = written
+    assert expect == at(2, 20)
+    assert read_allocation_order(value) == (8,)
+    shares = decode_allocation(value)[WORKSPACE]
+    assert shares.shares[entries[1]].reserved >= 400
+    assert shares.reserved <= TERMS.budget(RateLimit(100.0, 0.0))
--- a/testing/gateway/test_fleet_changes.py
+++ b/testing/gateway/test_fleet_changes.py
@@ -10,11 +10,15 @@
 from testing.gateway.world import configuration, route
 
 
-async def receiving_instances(world, request_count: int = 6) -> set[str]:
+async def receiving_instances(
+    world, request_count: int = 6, *, extra: str = ""
+) -> set[str]:
     """Return the ids of the instances that receive concurrent requests."""
     for instance in world.instances.values():
         instance.requests.clear()
-    await asyncio.gather(*(world.send("/s/a") for _ in range(request_count)))
+    await asyncio.gather(
+        *(world.send("/s/a", extra=extra) for _ in range(request_count))
+    )
     return {
         request.headers["expected-instance"] for request in received_requests(world)
     }
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -16,12 +16,14 @@
 from masticdeck.events import Code, EventLog
 from masticdeck.gateway.app import Endpoints, Gateway, Platform
 from masticdeck.gateway.settings import GatewaySettings
+from masticdeck.ids import Era
 from masticdeck.metrics import Metrics
 from masticdeck.platform.endpoints import PlatformEndpoints
 from masticdeck.platform.headers import PlatformDialect
 from masticdeck.platform.records import PlatformRecords
 from masticdeck.platform.settings import translate
 from masticdeck.platform.store import PlatformStore
+from masticdeck.protocol.positions import pack_position
 from testing.platform.standin_instance import StandinInstance
 from testing.platform.standin_store import StandinStore
 from testing.platform.workspaces import with_workspaces
@@ -216,7 +218,9 @@
         """Wait until the entry has received the store's latest revision."""
         assert self.gateway is not None
         async with asyncio.timeout(TIMEOUT_S):
-            while self.gateway.replica.revision < self.store.revision:
+            while self.gateway.replica.revision < pack_position(
+                Era(self.store.era), self.store.revision
+            ):
                 await asyncio.sleep(0.01)
 
     async def wait_for(self, code: Code) -> None:
--- a/testing/memory_store.py
+++ b/testing/memory_store.py
@@ -37,10 +37,13 @@
         fault = self.fault(method, key)
         if fault == "down":
             raise StoreUnavailable(method)
+        sent_in = self.eras.era
         try:
             answer = await self.platform.call(method, dict(body))
         except Refused as error:
             raise StoreConflict(str(error)) from None
+        stated = answer.get("era")
+        self.eras.read(None if stated is None else str(stated), sent_in)
         if fault == "lost":
             raise StoreUnavailable(f"{method}: answer lost")
         return answer
--- a/testing/platform/standin_store.py
+++ b/testing/platform/standin_store.py
@@ -5,13 +5,17 @@
 answers slow, ``silent`` never answers, ``fixed_answers`` has the bytes that answer
 a call, or every call under ``*``, ``endless`` writes blanks before each answer until
 the caller closes, ``compact`` drops the history, ``stale_lags`` has how
-many revisions each stale page lags behind.
+many revisions each stale page lags behind. ``restore`` sets it back to a copy that
+``copy`` returned before: what was written since is gone, leases too, revisions and
+numbers of leases are given out again, and the era rises by one. ``stated_era`` replaces
+the era that it states.
 """
 
 from __future__ import annotations
 
 import asyncio
 import base64
+import copy
 import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass, field
@@ -35,6 +39,17 @@
     keys: set[str] = field(default_factory=set)
 
 
+@dataclass
+class StoreCopy:
+    """A copy of what the store holds."""
+
+    items: dict[str, dict[str, Any]]
+    history: list[dict[str, Any]]
+    revision: int
+    leases: dict[int, Lease]
+    next_lease: int
+
+
 class StandinStore:
     """The store, on a free port of the loopback address."""
 
@@ -44,7 +59,9 @@
         self.oldest = 0
         self.revision = 1
         self.leases: dict[int, Lease] = {}
-        self.lease_ids = itertools.count(7000)
+        self.next_lease = 7000
+        self.era = 0
+        self.stated_era: str | None = None
         self.calls: list[str] = []
         self.refuse_with: int | None = None
         self.fixed_answers: dict[str, bytes] = {}
@@ -62,6 +79,7 @@
     async def start(self) -> None:
         """Listen."""
         app = web.Application(middlewares=[self.apply_faults])
+        app.on_response_prepare.append(self.state_era)
         app.router.add_get("/-/kv-key", self.answer_key)
         app.router.add_get("/-/kv-range", self.answer_range)
         app.router.add_get("/-/kv-watch", self.answer_watch)
@@ -114,6 +132,26 @@
         self.oldest = self.revision
         self.changed.set()
 
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore later."""
+        return copy.deepcopy(
+            StoreCopy(
+                self.items, self.history, self.revision, self.leases, self.next_lease
+            )
+        )
+
+    def restore(self, earlier: StoreCopy) -> None:
+        """Come back from a copy, in the next era."""
+        earlier = copy.deepcopy(earlier)
+        self.items, self.history = earlier.items, earlier.history
+        self.revision, self.leases = earlier.revision, earlier.leases
+        self.next_lease = earlier.next_lease
+        now = asyncio.get_running_loop().time()
+        for lease in self.leases.values():
+            lease.ends_at = now + lease.ttl_s
+        self.era += 1
+        self.changed.set()
+
     def record(self, event: dict[str, Any]) -> None:
         """Append an event and wake the watches."""
         self.history.append(event)
@@ -121,6 +159,13 @@
 
     # Calls
 
+    async def state_era(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        """State the era in an answer, once there is one."""
+        if self.era or self.stated_era is not None:
+            response.headers["Store-Era"] = self.stated_era or str(self.era)
+
     @web.middleware
     async def apply_faults(self, request: web.Request, handler: Any) -> Any:
         """Count a call and apply the faults that are switched on."""
@@ -172,8 +217,11 @@
         prefix, after = request.query["prefix"], int(request.query["after"])
         loop = asyncio.get_running_loop()
         until = loop.time() + int(request.query["wait_ms"]) / 1000
+        era = self.era
         while True:
-            if after < self.oldest:
+            if era != self.era:
+                return web.Response(status=503)
+            if after < self.oldest or after > self.revision:
                 return web.json_response({}, status=410)
             events = [
                 event
@@ -212,7 +260,8 @@
         """Grant a lease."""
         text = (await request.json())["ttl_time"]
         ttl_s = parse_duration(text)
-        lease = next(self.lease_ids)
+        self.next_lease += 1
+        lease = self.next_lease
         ends_at = asyncio.get_running_loop().time() + ttl_s
         self.leases[lease] = Lease(ttl_s, ends_at)
         return web.json_response({"lease": lease, "ttl_time": text})
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -13,10 +13,12 @@
     StoreUnavailable,
 )
 from masticdeck.events import Code
-from masticdeck.ids import Revision
+from masticdeck.ids import Era, Revision
 from masticdeck.platform import store as store_module
 from masticdeck.protocol import store as store_protocol
+from masticdeck.protocol.positions import era_of, pack_position
 from masticdeck.protocol.store import ABSENT
+from testing.platform.standin_store import Lease
 
 
 async def test_written_value_is_read_back_with_its_revision(store):
@@ -195,3 +197,107 @@
     assert standin.endless_bytes < 20_000_000
     standin.endless = False
     assert not (await store.list("")).items
+
+
+class TestEras:
+    """The store comes back from a copy, once or more, and says so or not."""
+
+    @pytest.fixture(autouse=True)
+    def state_era(self, standin) -> None:
+        standin.era = 1
+
+    async def test_condition_of_an_earlier_era_is_never_sent(self, store, standin):
+        """Guards against a write over another value that got the same revision."""
+        earlier = standin.copy()
+        revision = await store.put("a", b"1", expect=ABSENT)
+        standin.restore(earlier)
+        standin.write("a", b"of another writer")
+        assert standin.revision == revision & 0xFFFF
+        await store.list("")
+        standin.calls.clear()
+        with pytest.raises(StoreConflict):
+            await store.put("a", b"2", expect=revision)
+        assert standin.calls == []
+
+    async def test_write_that_meets_a_new_era_is_not_taken_for_done(
+        self, store, standin
+    ):
+        earlier = standin.copy()
+        revision = await store.put("a", b"1", expect=ABSENT)
+        standin.restore(earlier)
+        standin.write("a", b"of another writer")
+        with pytest.raises(StoreUnavailable):
+            await store.put("a", b"2", expect=revision)
+        assert store.era == 2
+
+    async def test_lease_of_an_earlier_era_renews_and_ends_no_other(
+        self, store, standin
+    ):
+        """Guards against leases whose number was given out again."""
+        earlier = standin.copy()
+        lease = await store.grant_lease(5)
+        standin.restore(earlier)
+        other = await store.grant_lease(5)
+        assert other.partition("/")[2] == lease.partition("/")[2]
+        for call in (store.renew_lease, store.revoke_lease):
+            with pytest.raises(StoreConflict):
+                await call(lease)
+        with pytest.raises(StoreConflict):
+            await store.put("a", b"1", lease=lease)
+        await store.renew_lease(other)
+
+    async def test_renewal_that_meets_a_new_era_does_not_count(self, store, standin):
+        earlier = standin.copy()
+        lease = await store.grant_lease(5)
+        standin.restore(earlier)
+        standin.leases[int(lease.partition("/")[2])] = Lease(5.0, float("inf"))
+        with pytest.raises(StoreConflict):
+            await store.renew_lease(lease)
+
+    async def test_watch_does_not_continue_in_another_era(self, store, standin):
+        standin.write("a", b"1")
+        after = pack_position(Era(1), standin.revision)
+        standin.restore(standin.copy())
+        standin.write("a", b"2")
+        with pytest.raises(StoreHistoryLost):
+            await store.watch("", after, wait_s=1)
+        listing = await store.list("")
+        assert era_of(listing.revision) == 2
+        changes = await store.watch("", listing.revision, wait_s=0)
+        assert changes.changes == ()
+
+    async def test_late_answer_of_an_earlier_era_is_discarded(self, store, standin):
+        standin.write("a", b"1")
+        standin.delay_s = 0.1
+        reading = asyncio.create_task(store.get("a"))
+        await asyncio.sleep(0.02)
+        store.note_era(Era(2))
+        with pytest.raises(StoreUnavailable):
+            await reading
+
+    @pytest.mark.parametrize("stated", ["", "x", "-1", "1e3", "99999999", "1"])
+    async def test_era_that_goes_down_or_cannot_be_read_is_ignored(
+        self, store, standin, events, stated
+    ):
+        """Guards against an entry that is deaf after one wrong era."""
+        standin.era = 2
+        standin.write("a", b"1")
+        await store.list("")
+        standin.stated_era = stated or "nothing"
+        for _ in range(3):
+            item = await store.get("a")
+            assert era_of(item.revision) == 2
+        assert store.metrics.counters["store_eras_ignored"] == 3
+        codes = [event.code for event in events.ring]
+        assert codes.count(Code.STORE_ERA_IGNORED) == 1
+
+    async def test_listing_across_two_eras_is_not_used(self, store, standin):
+        for number in range(8):
+            standin.write(f"a/{number}", b"x")
+        standin.delay_s = 0.05
+        reading = asyncio.create_task(store.list("a/"))
+        while standin.calls.count("kv-range") < 2:
+            await asyncio.sleep(0.005)
+        standin.restore(standin.copy())
+        with pytest.raises(StoreUnavailable):
+            await reading
