Bound what instances get while nothing tells whether they are cold

Cause: an instance counted as warm unless its record said otherwise, however old the records were. A refusal of the store showed to a waiting watch only when that ended, up to 1.2 s later.

Evidence: on request_sent states cold_ms=0 with a view of up to 5.4 s, after feed_failed at all three entries within the first second. So they knew that they knew nothing, and no path ignored a known cold state.

Change: a doubt begins when the store fails here or at the source of the records (a new bit in updates between entries), or when they are older than 1.5 s, and lasts 2 s beyond an outage of a second or more. In a doubt each entry keeps to its part of what a cold instance bears, by what it sent before and what responses reported of others; where all sent less than that, everyone goes on. Watches wait 0.5 s with these settings. request_sent names the doubt.

Test on the code before, test_instance_that_becomes_cold_while_the_store_is_down_is_not_flooded: assert 25 <= ((4.3 * 1.5) + 5)

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -22,9 +22,47 @@
 
 RESTORATION = "testing/coordination/test_restoration.py"
 RESTORED = "testing/gateway/test_store_restored.py"
+COLD = "testing/gateway/test_cold_instances.py"
+COLD_PROMISE = "no cold instance is flooded while the store is away"
 RESTORED_PROMISE = "a store that comes back from a copy undoes nothing that is known"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise=COLD_PROMISE,
+        mechanism="an instance that may be cold is closed to what exceeds its bound",
+        file=f"{SOURCE}/coordination/dispatch.py",
+        old="        return limiter is None or limiter.accepts(instance, now)",
+        new="        return True",
+        test=f"{COLD}"
+        "::test_instance_that_becomes_cold_while_the_store_is_down_is_not_flooded",
+    ),
+    Mutant(
+        promise=COLD_PROMISE,
+        mechanism="a failing store is a doubt at once",
+        file=f"{SOURCE}/coordination/warmth/confirmation.py",
+        old="        if self.replica.is_store_failing:",
+        new="        if False:",
+        test="testing/coordination/test_warmth.py"
+        "::TestConfirmation::test_failure_of_the_store_is_a_doubt_until_it_answers",
+    ),
+    Mutant(
+        promise=COLD_PROMISE,
+        mechanism="followers learn that the store fails at their source",
+        file=f"{SOURCE}/coordination/feed_peers.py",
+        old="        store_failing=update.is_store_failing,\n",
+        new="",
+        test="testing/coordination/test_feed_peers.py"
+        "::test_follower_learns_at_once_that_the_store_fails_at_its_source",
+    ),
+    Mutant(
+        promise=COLD_PROMISE,
+        mechanism="entries with less than a request in a window send in turn",
+        file=f"{SOURCE}/coordination/warmth/limiter.py",
+        old="        return Part(1, gap_s, now + fraction * gap_s)",
+        new="        return Part(1)",
+        test="testing/coordination/test_warmth.py"
+        "::test_instance_that_got_more_than_a_cold_one_bears_gets_no_more_than_that",
+    ),
     Mutant(
         promise=RESTORED_PROMISE,
         mechanism="positions order by era",
@@ -1043,7 +1081,7 @@
         promise="a key reaches no instance, log, metric or peer in clear text",
         mechanism="records of older entries are concealed on arrival",
         file=f"{SOURCE}/coordination/feed_peers.py",
-        old="self.concealed(decode_update(message))",
+        old="self.concealed(decode_update(message, self.replica.era))",
         new="decode_update(message)",
         test=f"{FRESHNESS}"
         "::test_keys_that_an_entry_of_an_older_version_sends_are_concealed",
--- a/src/masticdeck/coordination/cold_services.py
+++ b/src/masticdeck/coordination/cold_services.py
@@ -162,8 +162,13 @@
 
     def rate_per_s(self, service: ServiceId) -> float:
         """Return the requests per second that a service's cold instances bear."""
-        routes = self.fleet.routes
-        known_service = None if routes is None else routes.services.get(service)
-        if known_service is None:
-            return DEFAULT_COLD_REQUESTS_PER_S
-        return known_service.cold_requests_per_s
+        return cold_rate_per_s(self.fleet, service)
+
+
+def cold_rate_per_s(fleet: Fleet, service: ServiceId) -> float:
+    """Return the requests per second that a service's cold instances bear."""
+    routes = fleet.routes
+    known_service = None if routes is None else routes.services.get(service)
+    if known_service is None:
+        return DEFAULT_COLD_REQUESTS_PER_S
+    return known_service.cold_requests_per_s
--- a/src/masticdeck/coordination/dispatch.py
+++ b/src/masticdeck/coordination/dispatch.py
@@ -39,6 +39,7 @@
 )
 from masticdeck.coordination.run_times import RunTimes
 from masticdeck.coordination.shutdown_window import ShutdownWindow
+from masticdeck.coordination.warmth.limiter import UnconfirmedLimiter
 from masticdeck.ids import InstanceId, ServiceId, WorkspaceId
 from masticdeck.state.fleet import Fleet, FleetInstance
 from masticdeck.state.routes import Route
@@ -178,6 +179,7 @@
         *,
         cold_turns: ColdTurns,
         shutdown_window: ShutdownWindow | None = None,
+        unconfirmed_limiter: UnconfirmedLimiter | None = None,
     ) -> None:
         self.fleet = fleet
         self.placement = placement
@@ -187,6 +189,7 @@
         self.cold_turns = cold_turns
         self.cold_services = ColdServices(fleet, cold_turns)
         self.shutdown_window = shutdown_window or ShutdownWindow()
+        self.unconfirmed_limiter = unconfirmed_limiter
         self.fair_queues: dict[ServiceId, FairQueue[PendingRequest]] = {}
         self.wait_estimates = WaitEstimates()
         self.return_schedule = ReturnSchedule()
@@ -396,6 +399,7 @@
             instance
             for instance in self.exclude_busy_without_key(request, now)
             if self.loads.get(instance).has_queue_capacity(now)
+            and self.is_open(instance, now)
             and now + self.expected_queue_s(request, instance, now)
             <= self.latest_start(request, instance)
         ]
@@ -556,6 +560,7 @@
             instance
             for instance in self.exclude_busy_without_key(request, now)
             if self.loads.get(instance).has_free_slot(now)
+            and self.is_open(instance, now)
             and now <= self.latest_start(request, instance)
         ]
         if not free_instances:
@@ -733,6 +738,11 @@
             or self.fleet.cold_until(instance) <= wait_until
         )
 
+    def is_open(self, instance: FleetInstance, now: float) -> bool:
+        """Return whether an instance that may have become cold accepts a request."""
+        limiter = self.unconfirmed_limiter
+        return limiter is None or limiter.accepts(instance, now)
+
     def take_slot(self, instance: FleetInstance, now: float) -> bool:
         """Count a request that is about to be sent to an instance.
 
@@ -742,6 +752,8 @@
             if not self.cold_services.has_turn(instance):
                 return False
             self.cold_services.record_sent(instance)
+        if self.unconfirmed_limiter is not None:
+            self.unconfirmed_limiter.record_sent(instance, now)
         self.loads.record_sent(instance)
         return True
 
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -36,10 +36,11 @@
 WATCH_WAIT_S = 1.2
 """Longest wait of a watch; keeps the age of the replica below two seconds."""
 
-PROVING_WATCH_WAIT_S = 0.5
-"""Longest wait of a watch while decisions depend on a proof of the replica's age.
+SHORT_WATCH_WAIT_S = 0.5
+"""Longest wait of a watch while decisions depend on how current the replica is.
 
-A watch only proves that the replica was current when the call was sent.
+A watch only proves that the replica was current when the call was sent, and a store
+that fails may show it only when the watch ends.
 """
 
 MIN_WATCH_INTERVAL_S = 0.4
@@ -88,7 +89,8 @@
     ``age_s`` is the time since the replica of the sender was last known to be
     current, ``outage_ended_s`` the time since the sender observed the end of an
     outage of the store, and ``hops`` the number of entries between the sender and the
-    store. ``proof_age_s`` is the time since that replica was last provably current, and
+    store. ``is_store_failing`` states that the store fails where the records come from.
+    ``proof_age_s`` is the time since that replica was last provably current, and
     ``probe`` the newest probe that the sender had received before.
     """
 
@@ -100,6 +102,7 @@
     hops: int = 0
     proof_age_s: float = math.inf
     probe: int = 0
+    is_store_failing: bool = False
 
 
 class RecordReplica:
@@ -110,7 +113,9 @@
     replica. If an entry has merely lost its source, removed records were really
     removed and have not expired.
 
-    ``hops`` is the number of entries between the replica and the store.
+    ``hops`` is the number of entries between the replica and the store, and
+    ``is_store_failing`` states that the store rejected the last call, here or at the
+    source of the replica.
 
     ``proved_at`` is the latest boot time at which the replica was provably current. It
     is never later than the truth, whatever was delayed on the way.
@@ -138,6 +143,7 @@
         self.confirmed_at = float("-inf")
         self.proved_at = float("-inf")
         self.store_failed_at = float("-inf")
+        self.is_store_failing = False
         self.outage_ended_at = float("-inf")
         self.waiters: set[asyncio.Future[None]] = set()
         self.on_unseen_record_deleted: list[Callable[[str], None]] = []
@@ -222,8 +228,19 @@
             self.wake_waiters()
 
     def record_store_failure(self, now: float) -> None:
-        """Record that a call of the store failed."""
+        """Record that a call of the store failed.
+
+        An entry that follows another one meanwhile goes by what that one says.
+        """
         self.store_failed_at = now
+        if not self.hops:
+            self.set_store_failing(is_failing=True)
+
+    def set_store_failing(self, *, is_failing: bool) -> None:
+        """Record whether the store fails, and tell followers at once."""
+        if is_failing is not self.is_store_failing:
+            self.is_store_failing = is_failing
+            self.wake_waiters()
 
     def confirm(
         self, current_at: float, now: float, *, outage_ended_s: float = math.inf
@@ -240,6 +257,7 @@
             elif outage_ended_s < MIN_OUTAGE_S:
                 self.outage_ended_at = now - outage_ended_s
         self.confirmed_at = current_at
+        self.is_store_failing = False
         self.wake_waiters()
 
     def replace(self, items: Iterable[KeyValue], revision: Revision) -> None:
@@ -389,6 +407,7 @@
                 now - self.outage_ended_at,
                 self.hops,
                 self.proof_age_s(now),
+                is_store_failing=self.is_store_failing,
             )
         newer_changes = newest_by_key(
             change for change in self.recent_changes if change.revision > revision
@@ -401,6 +420,7 @@
             now - self.outage_ended_at,
             self.hops,
             self.proof_age_s(now),
+            is_store_failing=self.is_store_failing,
         )
 
     def apply_update(self, update: FeedUpdate, now: float) -> None:
@@ -409,6 +429,7 @@
         if is_current:
             current_at = now - update.age_s
             self.confirm(current_at, now, outage_ended_s=update.outage_ended_s)
+            self.set_store_failing(is_failing=update.is_store_failing)
         if update.is_snapshot:
             if is_current:
                 items = [
@@ -445,10 +466,10 @@
         events: EventLog,
         *,
         should_follow: Callable[[], bool] = lambda: True,
-        needs_proof: Callable[[], bool] = lambda: False,
+        needs_short_watch: Callable[[], bool] = lambda: False,
     ) -> None:
         super().__init__(events)
-        self.needs_proof = needs_proof
+        self.needs_short_watch = needs_short_watch
         self.store = store
         self.replica = replica
         self.should_follow = should_follow
@@ -485,7 +506,7 @@
             await self.load()
             return
         sent_at = boottime()
-        wait_s = PROVING_WATCH_WAIT_S if self.needs_proof() else WATCH_WAIT_S
+        wait_s = SHORT_WATCH_WAIT_S if self.needs_short_watch() else WATCH_WAIT_S
         changes = await self.store.watch("", self.replica.revision, wait_s=wait_s)
         self.replica.confirm(
             max(sent_at, boottime() - MIN_WATCH_INTERVAL_S), boottime()
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -404,6 +404,7 @@
         age_ms=round(min(update.age_s, 1e6) * 1000),
         outage_ended_ms=encode_outage_age_ms(update.outage_ended_s),
         hops=update.hops,
+        store_failing=update.is_store_failing,
         **encode_proof(update),
     )
 
@@ -469,4 +470,5 @@
         message.hops,
         message.proof_age_ms / 1000 if message.probe else math.inf,
         message.probe,
+        message.store_failing,
     )
--- /dev/null
+++ b/src/masticdeck/coordination/warmth/__init__.py
@@ -0,0 +1,1 @@
+"""What may be sent to instances while nothing confirms that they are not cold."""
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -12,6 +12,7 @@
 
 from masticdeck.application import Application, Component
 from masticdeck.clock import boottime
+from masticdeck.coordination.cold_services import cold_rate_per_s
 from masticdeck.coordination.cold_turns import ColdTurns
 from masticdeck.coordination.dispatch import Dispatcher
 from masticdeck.coordination.entry_order import EntryOrder
@@ -41,6 +42,8 @@
 from masticdeck.coordination.run_times import RunTimes
 from masticdeck.coordination.shutdown_window import ShutdownWindow
 from masticdeck.coordination.split import TrafficSplit
+from masticdeck.coordination.warmth.confirmation import WarmthConfirmation
+from masticdeck.coordination.warmth.limiter import ColdBound, UnconfirmedLimiter
 from masticdeck.coordination.watcher_selector import WatcherSelector
 from masticdeck.coordination.workspaces.access import WorkspaceAccess
 from masticdeck.coordination.zone_returns import ZoneReturnRecorder
@@ -146,7 +149,9 @@
                 self.watcher_selector.should_follow_store(self.replica)
                 or self.lacks_proof()
             ),
-            needs_proof=self.may_need_proof,
+            needs_short_watch=lambda: (
+                self.cold_bound() is not None or self.may_need_proof()
+            ),
         )
         self.peer_feed = PeerFeed(
             self.replica,
@@ -209,6 +214,14 @@
             members=self.directory.selected_entry_ids,
             usable_from=self.counted_from,
         )
+        self.warmth = WarmthConfirmation(self.replica, events)
+        self.unconfirmed_limiter = UnconfirmedLimiter(
+            self.warmth,
+            self.instance_loads,
+            bound=self.cold_bound,
+            cold_rate_per_s=lambda service: cold_rate_per_s(self.fleet, service),
+            order=self.entry_order,
+        )
         self.dispatcher = Dispatcher(
             self.fleet,
             self.placement,
@@ -217,6 +230,7 @@
             self.health,
             cold_turns=self.cold_turns,
             shutdown_window=self.shutdown_window,
+            unconfirmed_limiter=self.unconfirmed_limiter,
         )
         self.quota_limiter = QuotaLimiter(
             settings.entry,
@@ -276,6 +290,7 @@
         self.fleet_view.on_instance_removed += [
             self.forwarder.remove_instance,
             self.cold_turns.remove,
+            self.unconfirmed_limiter.remove,
         ]
         self.caller_memory = CallerMemory(
             settings.caller_memory.limits(), self.record_memory_decision
@@ -374,6 +389,11 @@
         record = self.replica.records.get(ALLOCATION_KEY)
         return Revision(0) if record is None else record.revision
 
+    def cold_bound(self) -> ColdBound | None:
+        """Return what a cold instance bears, None if the settings do not say."""
+        factor = self.settings.cold_load_factor
+        return None if factor is None else ColdBound(factor, self.settings.cold_slack)
+
     def quota_terms(self) -> QuotaTerms:
         """Return how requests are counted against limits, by the settings in force."""
         bound_s = self.settings.key_revocation_s
--- a/src/masticdeck/gateway/exchange.py
+++ b/src/masticdeck/gateway/exchange.py
@@ -433,6 +433,7 @@
             born=instance.born_ms,
             cold_ms=round((cold_period.until - now) * 1000) if is_cold else 0,
             cold_source=cold_period.source.value if is_cold else "",
+            doubt=self.forwarder.describe_doubt(),
             entries=len(self.forwarder.dispatcher.cold_turns.members()),
         )
 
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -138,6 +138,11 @@
         """Return the seconds since the records were last confirmed as current."""
         return self.replica.age_s(boottime())
 
+    def describe_doubt(self) -> str:
+        """Return why the records may not tell which instances are cold."""
+        limiter = self.dispatcher.unconfirmed_limiter
+        return "" if limiter is None else limiter.confirmation.doubt.value
+
     def retry_after_s(
         self, rest_s: float = 0.0, request: PendingRequest | None = None
     ) -> float:
--- a/src/masticdeck/gateway/settings.py
+++ b/src/masticdeck/gateway/settings.py
@@ -62,6 +62,11 @@
     to the kill. ``cpu_cores`` and ``link_mbps`` state the size of this entry's VM: its
     processor in whole cores and its bandwidth in Mbit/s.
 
+    ``cold_load_factor`` and ``cold_slack`` state what a cold instance bears in a second
+    from all entries together: ``rate * cold_load_factor + cold_slack``, by the rate of
+    its service. Without the factor, nothing is bounded while the records do not tell
+    which instances are cold.
+
     ``key_revocation_s`` is the time after which a removed key is refused by every
     entry, None without such a bound. ``quota_window_s``, ``quota_overage`` and
     ``quota_slack`` bound the requests of a workspace in any window of that length, over
@@ -86,6 +91,8 @@
     retry_ratio: Annotated[float, Field(ge=0, le=1)] = 0.2
     retry_slack: Annotated[float, Field(ge=0)] = 0.0
     retry_window_s: Annotated[float, Field(gt=0)] = 10.0
+    cold_load_factor: Annotated[float, Field(ge=1)] | None = None
+    cold_slack: Annotated[float, Field(ge=0)] = 0.0
     key_revocation_s: Annotated[float, Field(gt=0)] | None = None
     quota_window_s: Annotated[float, Field(gt=0)] = 5.0
     quota_overage: Annotated[float, Field(ge=0)] = 0.0
--- a/src/masticdeck/platform/settings.py
+++ b/src/masticdeck/platform/settings.py
@@ -37,6 +37,17 @@
     return Path(path)
 
 
+NUMBERS = {
+    "retry_budget_ratio": "retry_ratio",
+    "budget_slack": "retry_slack",
+    "cold_load_factor": "cold_load_factor",
+    "cold_slack": "cold_slack",
+    "quota_overage": "quota_overage",
+    "quota_slack": "quota_slack",
+}
+"""Bounds that are plain numbers, with the settings that they give."""
+
+
 def load_settings(path: Path) -> GatewaySettings:
     """Read and check the settings; all errors are named at once."""
     try:
@@ -109,23 +120,17 @@
 
 def translate_bounds(bounds: dict[str, Any]) -> dict[str, Any]:
     """Return the settings that the bounds of the platform give."""
-    settings: dict[str, Any] = {}
+    settings: dict[str, Any] = {
+        name: bounds[bound] for bound, name in NUMBERS.items() if bound in bounds
+    }
     if "grace_period" in bounds:
         settings["stop_grace_s"] = parse_duration(bounds["grace_period"])
-    if "retry_budget_ratio" in bounds:
-        settings["retry_ratio"] = bounds["retry_budget_ratio"]
-    if "budget_slack" in bounds:
-        settings["retry_slack"] = bounds["budget_slack"]
     if "budget_window" in bounds:
         settings["retry_window_s"] = parse_duration(bounds["budget_window"])
     if bounds.get("strict_revocation") is True and "revoke" in bounds:
         settings["key_revocation_s"] = parse_duration(bounds["revoke"])
     if "quota_window" in bounds:
         settings["quota_window_s"] = parse_duration(bounds["quota_window"])
-    if "quota_overage" in bounds:
-        settings["quota_overage"] = bounds["quota_overage"]
-    if "quota_slack" in bounds:
-        settings["quota_slack"] = bounds["quota_slack"]
     return settings
 
 
--- a/testing/coordination/test_feed_peers.py
+++ b/testing/coordination/test_feed_peers.py
@@ -397,3 +397,21 @@
         decoded = feed_peers.decode_update(feed_peers.encode_update(update, []))
         assert decoded.hops == 4
         assert decoded.outage_ended_s == pytest.approx(seconds, abs=0.002)
+
+
+async def test_follower_learns_at_once_that_the_store_fails_at_its_source(
+    follower, stack
+):
+    """Guards against followers that take instances for warm for a second longer."""
+    source = await add_source(stack, follower, "one")
+    source.write("a", b"1")
+    await follower.feed.start()
+    await follower.wait_for("a", b"1")
+    assert not follower.replica.is_store_failing
+    source.replica.record_store_failure(boottime())
+    async with asyncio.timeout(feed_peers.KEEPALIVE_INTERVAL_S):
+        while not follower.replica.is_store_failing:
+            await asyncio.sleep(0.01)
+    source.write("a", b"2")
+    await follower.wait_for("a", b"2")
+    assert not follower.replica.is_store_failing
--- a/testing/gateway/test_cold_instances.py
+++ b/testing/gateway/test_cold_instances.py
@@ -9,6 +9,12 @@
 from masticdeck.coordination.entry_registration import LEASE_TTL_S
 from masticdeck.events import Code
 from masticdeck.state.fleet import ColdSource
+from testing.gateway.world import (
+    COLD_LOAD_FACTOR,
+    COLD_REQUESTS_PER_S,
+    COLD_SLACK,
+)
+from testing.platform.standin_instance import answer_well
 
 
 async def become_settled(world) -> None:
@@ -162,3 +168,42 @@
     )
     await world.settle()
     assert 7 < world.gateway.fleet.cold_until(instance) - boottime() <= 9
+
+
+async def test_instance_that_becomes_cold_while_the_store_is_down_is_not_flooded(world):
+    """Guards against an outage in which entries take every instance for a warm one."""
+    world.store.remove("servers/u2")
+    await world.settle()
+    arrived: list[float] = []
+    callers: list[asyncio.Task] = []
+
+    async def work(instance, request, writer) -> None:
+        arrived.append(boottime())
+        await asyncio.sleep(0.1)
+        await answer_well(instance, request, writer)
+
+    async def press(seconds: float) -> float:
+        """Send 25 requests a second, whatever becomes of the earlier ones."""
+        until = boottime() + seconds
+        while boottime() < until:
+            request = world.send("/u/a", method="POST", remaining_ms=2000)
+            callers.append(asyncio.create_task(request))
+            await asyncio.sleep(0.04)
+        return boottime()
+
+    world.instances["u1"].act = work
+    cold_from = await press(2.0)
+    assert sum(at > cold_from - 1.0 for at in arrived) > 15
+    world.store.refuse_with = 503
+    cold_from = await press(0.5)
+    cold_until = await press(3.0)
+    responses = await asyncio.gather(*callers)
+    cold = [at for at in arrived if cold_from <= at < cold_until]
+    most = max(sum(start <= at < start + 1.0 for at in cold) for start in cold)
+    assert 0 < most <= COLD_REQUESTS_PER_S * COLD_LOAD_FACTOR + COLD_SLACK
+    refused = [one for one in responses if one.status == 503]
+    assert refused
+    assert all(float(one.headers["retry-after"]) > 0 for one in refused)
+    reasons = [one["reason"] for one in fields_of(world, Code.WARMTH_UNCONFIRMED)]
+    assert reasons[0] == "store failing"
+    assert fields_of(world, Code.REQUEST_SENT)[-1]["doubt"] == "store failing"
--- a/testing/gateway/test_store_restored.py
+++ b/testing/gateway/test_store_restored.py
@@ -11,6 +11,7 @@
 
 from masticdeck.coordination.entry_registration import RENEW_INTERVAL_S
 from masticdeck.events import Code
+from masticdeck.protocol.positions import lease_era
 from testing.gateway.test_fleet_changes import receiving_instances
 from testing.gateway.world import World, route
 from testing.platform.standin_store import StoreCopy
@@ -122,10 +123,11 @@
     earlier.items.pop("masticdeck/entries/entry-1", None)
     earlier.leases.clear()
     await restore(drilled, earlier)
-    assert not gateway.entry_registration.is_held()
+    registration = gateway.entry_registration
     assert gateway.own_entry.id in gateway.fleet.entries
     async with asyncio.timeout(RENEW_INTERVAL_S + 2.0):
-        while not gateway.entry_registration.is_held():
+        while not (registration.is_held() and lease_era(registration.lease) == 2):
+            assert lease_era(registration.lease) == 2 or not registration.is_held()
             await asyncio.sleep(0.01)
     item = drilled.store.items["masticdeck/entries/entry-1"]
     assert item["lease"] in drilled.store.leases
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -38,6 +38,10 @@
 COLD_REQUESTS_PER_S = 4.3
 """What a cold instance of every service bears, by the configuration."""
 
+COLD_LOAD_FACTOR = 1.5
+COLD_SLACK = 5
+"""A cold instance bears its rate times the factor, plus the slack, in a second."""
+
 TIMEOUT_S = 5.0
 FIRST_PORT = 12_000
 LAST_PORT = 32_000
@@ -91,6 +95,8 @@
             "retry_budget_ratio": 0.2,
             "budget_slack": 58,
             "budget_window": "10s",
+            "cold_load_factor": COLD_LOAD_FACTOR,
+            "cold_slack": COLD_SLACK,
             **(bounds or {}),
         },
     }
