Leave writers their time after a restoration with an outage, and ask for a doubt once

Time without a word from the store no longer counts, and records stay pending until the longest hold has passed.

The limiter of unconfirmed instances asked for the doubt once for each instance of a choice; it now does once for each moment. An instance whose first requests went out during a doubt as a cold one raised KeyError in its limit; the service's mean is now optional. Its parts are named limits.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -58,8 +58,8 @@
         promise=COLD_PROMISE,
         mechanism="entries with less than a request in a window send in turn",
         file=f"{SOURCE}/coordination/warmth/limiter.py",
-        old="        return Part(1, gap_s, now + fraction * gap_s)",
-        new="        return Part(1)",
+        old="        return SendLimit(1, gap_s, now + fraction * gap_s)",
+        new="        return SendLimit(1)",
         test="testing/coordination/test_warmth.py"
         "::test_instance_that_got_more_than_a_cold_one_bears_gets_no_more_than_that",
     ),
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -61,8 +61,8 @@
 MIN_OUTAGE_S = 2.5
 """Time without contact to the store after which records may have expired."""
 
-LONGEST_RESTORATION_S = 60.0
-"""Time after the beginning of an era in which records may lapse or fall due."""
+MAX_UNHEARD_S = 1.5
+"""Time between two confirmations beyond which writers may have been cut off as well."""
 
 MAX_RECENT_CHANGES = 2_000
 """Recent changes kept for followers; one that lacks more gets a snapshot."""
@@ -251,6 +251,8 @@
         """
         if current_at <= self.confirmed_at:
             return
+        if MAX_UNHEARD_S < now - self.confirmed_at < math.inf:
+            self.restoration.extend(now - self.confirmed_at)
         if MIN_OUTAGE_S < now - self.confirmed_at < math.inf:
             if self.store_failed_at > self.confirmed_at:
                 self.outage_ended_at = now
@@ -303,7 +305,7 @@
 
         Followers do the same by themselves.
         """
-        if now - self.restoration.began_at > LONGEST_RESTORATION_S:
+        if not self.restoration.is_pending:
             return
         lapsed = [
             record
--- a/src/masticdeck/coordination/restoration/restoration.py
+++ b/src/masticdeck/coordination/restoration/restoration.py
@@ -63,13 +63,15 @@
 
     ``held`` has the changes that were held back, by key. ``began_at`` is the boot time
     at which the present era was first seen, minus infinity if it is the first one, and
-    ``listed_at`` the position of the first records that were seen of it.
+    ``listed_at`` the position of the first records that were seen of it. ``is_pending``
+    states that records may still lapse or fall due.
     """
 
     def __init__(self, rules: RestorationRules = RULES) -> None:
         self.rules = rules
         self.began_at = float("-inf")
         self.listed_at = ABSENT
+        self.is_pending = False
         self.held: dict[str, Change] = {}
         self.removed: dict[str, RemovedRecord] = {}
 
@@ -77,8 +79,16 @@
         """Take in that a new era was seen; what was held of the last one is void."""
         self.began_at = now
         self.listed_at = listed_at
+        self.is_pending = True
         self.held.clear()
 
+    def extend(self, pause_s: float) -> None:
+        """Do not count a time in which nothing was heard of the store.
+
+        Nobody may have been able to write in it.
+        """
+        self.began_at += pause_s
+
     def record_removal(self, removal: Change, record: KeyValue | None) -> None:
         """Remember a record that was removed, or a removal of an unknown one."""
         earlier = self.removed.pop(removal.key, None)
@@ -142,6 +152,7 @@
     def due_changes(self, now: float) -> list[Change]:
         """Release and return the held changes that nobody has replaced in time."""
         age_s = now - self.began_at
+        self.is_pending = age_s < self.rules.longest_held_s()
         due = [
             change
             for change in self.held.values()
--- a/src/masticdeck/coordination/restoration/rules.py
+++ b/src/masticdeck/coordination/restoration/rules.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Callable
 from dataclasses import dataclass
 from typing import final
@@ -80,6 +81,11 @@
                 return rule
         return DEFAULT_RULE
 
+    def longest_held_s(self) -> float:
+        """Return the time after which nothing more falls due, in seconds."""
+        times = [rule.held_s for rule in self.by_prefix.values()]
+        return max([RESTORE_S, *(held_s for held_s in times if held_s < math.inf)])
+
 
 RULES = RestorationRules()
 """The rules of all records, registered where the records are decoded."""
--- a/src/masticdeck/coordination/warmth/limiter.py
+++ b/src/masticdeck/coordination/warmth/limiter.py
@@ -43,16 +43,16 @@
 """Age up to which own requests to an instance count as its usual ones."""
 
 CALM_SLACK = 0.7
-"""Part of the slack up to which an instance counts as getting less than the bound."""
+"""Fraction of the slack up to which an instance is calm: it got less than the bound."""
 
 FEW_REPORTS = 8
 """Reports of an instance that weigh as much as all others of its service."""
 
 USED_SLACK = 0.4
-"""Part of the slack that entries use at instances that got more than that."""
+"""Fraction of the slack that entries use at instances that are not calm."""
 
 NEWCOMER_SLACK = 0.3
-"""Part of the slack that entries use to which such an instance was new."""
+"""Fraction of the slack that entries use there if they have sent nothing lately."""
 
 CHANCE_REQUESTS = 2
 """Requests in a window beyond an entry's part, where the sum is below the bound."""
@@ -69,8 +69,8 @@
 
 @final
 @dataclass(frozen=True, slots=True)
-class Part:
-    """What an entry may send to an instance: requests in a window, and their gap.
+class SendLimit:
+    """Limit of one entry at one instance: requests in a window, and their gap.
 
     Nothing is sent before boot time ``from_at``, and the gap is that between requests
     from then on.
@@ -150,33 +150,47 @@
         self.cold_rate_per_s = cold_rate_per_s
         self.order = order
         self.sends: dict[InstanceId, RecentSends] = {}
-        self.parts: dict[InstanceId, Part] = {}
-        self.parts_of = math.inf
+        self.limits: dict[InstanceId, SendLimit] = {}
+        self.limits_since = math.inf
         self.mean_totals: dict[ServiceId, float] = {}
+        self.checked_at = -math.inf
+        self.checked_bound: ColdBound | None = None
 
     def accepts(self, instance: FleetInstance, now: float) -> bool:
         """Return whether this entry may send an instance one more request now."""
-        bound = self.bound()
-        if bound is None or self.confirmation.is_confirmed(now):
+        bound = self.bound_in_force(now)
+        if bound is None:
             return True
-        if self.parts_of != self.confirmation.began_at:
+        if self.limits_since != self.confirmation.began_at:
             self.begin(now)
-        part = self.parts.get(instance.id)
-        if part is None:
-            part = self.parts[instance.id] = self.find_part(instance, bound, now)
+        limit = self.limits.get(instance.id)
+        if limit is None:
+            limit = self.limits[instance.id] = self.find_limit(instance, bound, now)
         sends = self.sends.get(instance.id)
-        if now < part.from_at or not part.per_window:
+        if now < limit.from_at or not limit.per_window:
             return False
         if sends is None:
             return True
-        return sends.count_since(now - WINDOW_S) < part.per_window and (
-            sends.last_at < part.from_at or now - sends.last_at >= part.min_gap_s
+        return sends.count_since(now - WINDOW_S) < limit.per_window and (
+            sends.last_at < limit.from_at or now - sends.last_at >= limit.min_gap_s
         )
 
+    def bound_in_force(self, now: float) -> ColdBound | None:
+        """Return the bound, None if nothing has to be bounded now.
+
+        A choice among many instances asks for each of them at the same moment.
+        """
+        if now != self.checked_at:
+            self.checked_at = now
+            bound = self.bound()
+            is_needed = bound is not None and not self.confirmation.is_confirmed(now)
+            self.checked_bound = bound if is_needed else None
+        return self.checked_bound
+
     def begin(self, now: float) -> None:
         """Take down what the instances got before a doubt."""
-        self.parts_of = self.confirmation.began_at
-        self.parts.clear()
+        self.limits_since = self.confirmation.began_at
+        self.limits.clear()
         reports: Counter[ServiceId] = Counter()
         weighted: defaultdict[ServiceId, float] = defaultdict(float)
         for sends in self.sends.values():
@@ -192,47 +206,52 @@
         Few reports say little, so those of the service's other instances count too.
         """
         reports = sends.report_count
-        usual = self.mean_totals[sends.service]
-        return (reports * sends.total_per_s(now) + FEW_REPORTS * usual) / (
+        total_per_s = sends.total_per_s(now)
+        usual_per_s = self.mean_totals.get(sends.service, total_per_s)
+        return (reports * total_per_s + FEW_REPORTS * usual_per_s) / (
             reports + FEW_REPORTS
         )
 
-    def find_part(self, instance: FleetInstance, bound: ColdBound, now: float) -> Part:
-        """Return this entry's part of what an instance may get."""
+    def find_limit(
+        self, instance: FleetInstance, bound: ColdBound, now: float
+    ) -> SendLimit:
+        """Return this entry's limit at an instance."""
         plain_per_s = self.cold_rate_per_s(instance.service)
         rate_per_s = plain_per_s * bound.load_factor
         calm_per_s = rate_per_s + CALM_SLACK * bound.slack
         sends = self.sends.get(instance.id)
         own_per_s = 0.0 if sends is None else sends.rate_per_s(now)
         if sends is None or not own_per_s:
-            return self.newcomer_part(instance, bound, calm_per_s, now)
+            return self.newcomer_limit(instance, bound, calm_per_s, now)
         total_per_s = self.estimate_total_per_s(sends, now)
         own_fraction = min(1.0, own_per_s / total_per_s)
         if total_per_s <= calm_per_s:
-            return Part(int(calm_per_s * own_fraction) + CHANCE_REQUESTS)
+            return SendLimit(int(calm_per_s * own_fraction) + CHANCE_REQUESTS)
         own_part = (rate_per_s + USED_SLACK * bound.slack) * own_fraction
         if own_part >= 1:
-            return Part(int(own_part))
-        return self.staggered_part(instance, 1 / (plain_per_s * own_fraction), now)
+            return SendLimit(int(own_part))
+        return self.staggered_limit(instance, 1 / (plain_per_s * own_fraction), now)
 
-    def newcomer_part(
+    def newcomer_limit(
         self, instance: FleetInstance, bound: ColdBound, calm_per_s: float, now: float
-    ) -> Part:
-        """Return this entry's part at an instance to which it has sent nothing lately.
+    ) -> SendLimit:
+        """Return this entry's limit at an instance to which it has sent nothing lately.
 
         The other instances of the service tell whether this one has room.
         """
         if self.mean_totals.get(instance.service, math.inf) <= calm_per_s:
-            return Part(1)
+            return SendLimit(1)
         newcomers_per_s = NEWCOMER_SLACK * bound.slack
         if not newcomers_per_s:
-            return Part(0)
-        return self.staggered_part(instance, self.order.size() / newcomers_per_s, now)
+            return SendLimit(0)
+        return self.staggered_limit(instance, self.order.size() / newcomers_per_s, now)
 
-    def staggered_part(self, instance: FleetInstance, gap_s: float, now: float) -> Part:
-        """Return a part of one request in each gap, at another time than others."""
+    def staggered_limit(
+        self, instance: FleetInstance, gap_s: float, now: float
+    ) -> SendLimit:
+        """Return a limit of one request in each gap, at another time than others."""
         fraction = self.order.fraction(f"{instance.id}/{instance.born_ms}")
-        return Part(1, gap_s, now + fraction * gap_s)
+        return SendLimit(1, gap_s, now + fraction * gap_s)
 
     def record_sent(self, instance: FleetInstance, now: float) -> None:
         """Count a request that is being sent to an instance."""
@@ -247,4 +266,4 @@
     def remove(self, instance: FleetInstance) -> None:
         """Forget an instance that no longer exists."""
         self.sends.pop(instance.id, None)
-        self.parts.pop(instance.id, None)
+        self.limits.pop(instance.id, None)
--- a/testing/coordination/test_restoration.py
+++ b/testing/coordination/test_restoration.py
@@ -178,6 +178,19 @@
     assert entry.listener.in_use == {COUNTED: b"6", VERSIONED: b"9"}
 
 
+def test_outage_after_a_restoration_leaves_writers_their_time(entry):
+    """Guards against records that lapse although nobody could write them again."""
+    entry.list(1, 40, plain__a=(40, b"1"))
+    entry.replica.confirm(entry.now, entry.now)
+    entry.list(2, 25)
+    entry.now += 2 * RESTORE_S
+    entry.replica.confirm(entry.now, entry.now)
+    entry.pass_time(0.1)
+    assert entry.listener.in_use == {PLAIN: b"1"}
+    entry.pass_time(RESTORE_S)
+    assert entry.listener.in_use == {}
+
+
 def test_listing_of_an_earlier_era_that_arrives_late_changes_nothing(entry):
     entry.list(2, 25, plain__a=(20, b"new"))
     entry.list(1, 60, plain__a=(60, b"old"))
