Bound the instance orders that an entry keeps over all services

Cause: the order of the instances was kept for up to 20,000 keys of each service, 2.5 KB each and whatever the length of the key, and all were discarded at once at the bound.

Change: 6,000 orders over all services, the least recently used one goes first; digests in place of keys. Keys that an instance has answered are shortened as well.

Test: test_orders_of_many_keys_take_a_bounded_amount_of_memory; with the bound switched off it fails (mutant killed). Before, there was no bound over services to test.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -22,11 +22,20 @@
 
 RESTORATION = "testing/coordination/test_restoration.py"
 RESTORED = "testing/gateway/test_store_restored.py"
+ORDERS = "testing/coordination/test_instance_orders.py"
 COLD = "testing/gateway/test_cold_instances.py"
 COLD_PROMISE = "no cold instance is flooded while the store is away"
 RESTORED_PROMISE = "a store that comes back from a copy undoes nothing that is known"
 
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise="no process runs out of memory over ordinary requests",
+        mechanism="the least recently used order is discarded",
+        file=f"{SOURCE}/coordination/instance_orders.py",
+        old="        if len(self.owners) > MAX_KEPT_ORDERS:",
+        new="        if False:",
+        test=f"{ORDERS}::test_orders_of_many_keys_take_a_bounded_amount_of_memory",
+    ),
     Mutant(
         promise=COLD_PROMISE,
         mechanism="an instance that may be cold is closed to what exceeds its bound",
--- a/src/masticdeck/coordination/instance_orders.py
+++ b/src/masticdeck/coordination/instance_orders.py
@@ -9,10 +9,11 @@
 from __future__ import annotations
 
 from bisect import insort
+from collections import OrderedDict
 from collections.abc import Callable, Hashable, Iterator
 from dataclasses import dataclass
 from heapq import nsmallest
-from typing import Generic, TypeVar, final
+from typing import Any, Generic, TypeVar, final
 
 import xxhash
 
@@ -22,8 +23,8 @@
 KEPT_INSTANCES = 16
 """Instances kept for a key; more are computed if these are not usable."""
 
-MAX_CACHED_ORDERS = 20_000
-"""Orders of a service that are kept before all are discarded."""
+MAX_KEPT_ORDERS = 6_000
+"""Orders of all services that are kept; one of 16 instances takes about 2.5 KB."""
 
 MAX_PENDING_CHANGES = 64
 """Changes of a service that are kept before all its orders are discarded."""
@@ -54,12 +55,36 @@
     joined: tuple[FleetInstance, ...]
 
 
+@final
+class RecentOrders:
+    """Bounds the orders that all services keep: the least recently used one goes.
+
+    Callers choose how many keys there are, and how long each of them is.
+    """
+
+    def __init__(self) -> None:
+        self.owners: OrderedDict[tuple[ServiceId, Hashable], dict[Any, KeptOrder]] = (
+            OrderedDict()
+        )
+
+    def use(
+        self, service: ServiceId, name: Hashable, kept: dict[Any, KeptOrder]
+    ) -> None:
+        """Take in that a service uses an order, which it keeps under a name."""
+        self.owners[service, name] = kept
+        self.owners.move_to_end((service, name))
+        if len(self.owners) > MAX_KEPT_ORDERS:
+            (_, oldest), owner = self.owners.popitem(last=False)
+            owner.pop(oldest, None)
+
+
 @final
 class ServiceOrders(Generic[Area]):
     """Orders of the instances of one service that may get new requests.
 
     ``area_rank`` ranks an instance for an area: 0 if it lies inside, and the more the
-    less it is preferred.
+    less it is preferred. ``recent`` bounds the orders that are kept; services that
+    share it share the bound.
     """
 
     def __init__(
@@ -67,6 +92,7 @@
         fleet: Fleet,
         service: ServiceId,
         area_rank: Callable[[Area, FleetInstance], int],
+        recent: RecentOrders | None = None,
     ) -> None:
         self.fleet = fleet
         self.service = service
@@ -74,7 +100,8 @@
         self.epoch: tuple[int, int] | None = None
         self.instances: dict[InstanceId, FleetInstance] = {}
         self.changes: list[MembershipChange] = []
-        self.kept: dict[tuple[str, Area], KeptOrder] = {}
+        self.kept: dict[tuple[int, Area], KeptOrder] = {}
+        self.recent = recent or RecentOrders()
 
     def refresh(self) -> None:
         """Note which instances have left and joined since the last call."""
@@ -118,16 +145,16 @@
 
     def keep_order(self, key: str, area: Area) -> KeptOrder:
         """Return the kept order of a key, brought up to date."""
-        order = self.kept.get((key, area))
+        name = xxhash.xxh3_128_intdigest(key.encode()), area
+        self.recent.use(self.service, name, self.kept)
+        order = self.kept.get(name)
         if order is not None:
             self.apply_changes(order, key, area)
             if order.is_whole or 2 * len(order.positions) >= KEPT_INSTANCES:
                 return order
-        if len(self.kept) >= MAX_CACHED_ORDERS:
-            self.kept.clear()
         first = nsmallest(KEPT_INSTANCES, self.positions(key, area))
         order = KeptOrder(first, len(first) == len(self.instances), len(self.changes))
-        self.kept[key, area] = order
+        self.kept[name] = order
         return order
 
     def apply_changes(self, order: KeptOrder, key: str, area: Area) -> None:
--- a/src/masticdeck/coordination/placement.py
+++ b/src/masticdeck/coordination/placement.py
@@ -29,7 +29,7 @@
 
 import xxhash
 
-from masticdeck.coordination.instance_orders import ServiceOrders
+from masticdeck.coordination.instance_orders import RecentOrders, ServiceOrders
 from masticdeck.ids import RegionId, ServiceId, ZoneId
 from masticdeck.state.fleet import Fleet, FleetInstance
 from masticdeck.state.routes import Route, RouteKind
@@ -88,6 +88,7 @@
         self.region = fleet.region_of[zone]
         self.cross_region_rtt_s = 0.0
         self.orders: dict[ServiceId, ServiceOrders[Area]] = {}
+        self.recent_orders = RecentOrders()
         self.capacity_ratios: dict[
             tuple[ServiceId, Scope], tuple[tuple[int, int], float]
         ] = {}
@@ -222,7 +223,9 @@
         """Return a service's instances by scope, then in the hash order of a key."""
         orders = self.orders.get(service)
         if orders is None:
-            orders = ServiceOrders(self.fleet, service, self.area_rank)
+            orders = ServiceOrders(
+                self.fleet, service, self.area_rank, self.recent_orders
+            )
             self.orders[service] = orders
         return orders.iterate(key, Area(scope, route.home_regions))
 
--- a/src/masticdeck/coordination/run_times.py
+++ b/src/masticdeck/coordination/run_times.py
@@ -10,6 +10,8 @@
 
 from collections import OrderedDict
 
+import xxhash
+
 from masticdeck.coordination.instance_load import moving_average
 from masticdeck.ids import InstanceId
 from masticdeck.state.routes import Route, RouteId
@@ -17,6 +19,9 @@
 MAX_KEYS_PER_INSTANCE = 24
 """Keys remembered for an instance: about as many objects as it caches."""
 
+MAX_KEPT_KEY_LENGTH = 64
+"""Length of a key from which its digest is remembered in its place."""
+
 MIN_SILENCE_TIMEOUT_S = 0.4
 """Shortest time without a response after which another instance is tried."""
 
@@ -46,7 +51,9 @@
     def has_answered(self, route: Route, instance: InstanceId, key: str | None) -> bool:
         """Return whether an instance has recently answered a request for a key."""
         keys = self.answered_keys.get(instance)
-        return keys is not None and key is not None and (route.id, key) in keys
+        if keys is None or key is None:
+            return False
+        return (route.id, shorten(key)) in keys
 
     def expected_s(
         self, route: Route, instance: InstanceId, key: str | None
@@ -63,8 +70,9 @@
         if key is None:
             return
         keys = self.answered_keys.setdefault(instance, OrderedDict())
-        keys[route.id, key] = None
-        keys.move_to_end((route.id, key))
+        answered = route.id, shorten(key)
+        keys[answered] = None
+        keys.move_to_end(answered)
         if len(keys) > MAX_KEYS_PER_INSTANCE:
             keys.popitem(last=False)
 
@@ -95,3 +103,12 @@
             return None
         timeout_s = max(MIN_SILENCE_TIMEOUT_S, SILENCE_TIMEOUT_FACTOR * max_run_s)
         return timeout_s if timeout_s + max_run_s <= remaining_s else None
+
+
+def shorten(key: str) -> str:
+    """Return what is remembered of a key; callers may choose long ones."""
+    return (
+        key
+        if len(key) <= MAX_KEPT_KEY_LENGTH
+        else xxhash.xxh3_128_hexdigest(key.encode())
+    )
--- a/testing/coordination/test_instance_orders.py
+++ b/testing/coordination/test_instance_orders.py
@@ -3,18 +3,21 @@
 from __future__ import annotations
 
 import random
+import tracemalloc
 from itertools import islice
 
 import pytest
+import xxhash
 
 from masticdeck.coordination import instance_orders
 from masticdeck.coordination.instance_orders import (
     KEPT_INSTANCES,
     MAX_PENDING_CHANGES,
+    RecentOrders,
     ServiceOrders,
     rendezvous_weight,
 )
-from masticdeck.ids import InstanceId, ZoneId
+from masticdeck.ids import InstanceId, ServiceId, ZoneId
 from masticdeck.state.fleet import Fleet
 from testing.coordination.test_placement import REGION_OF, SERVICE, build_instance
 
@@ -119,5 +122,32 @@
         assert len(order.positions) <= 2 * KEPT_INSTANCES
 
 
+def test_orders_of_many_keys_take_a_bounded_amount_of_memory(fleet, monkeypatch):
+    """Guards against an entry that runs out of memory over ordinary requests."""
+    monkeypatch.setattr(instance_orders, "MAX_KEPT_ORDERS", 300)
+    recent = RecentOrders()
+    services = [
+        ServiceOrders(fleet, SERVICE, rank_zone, recent),
+        ServiceOrders(fleet, ServiceId("other"), rank_zone, recent),
+    ]
+    tracemalloc.start()
+    try:
+        sizes = []
+        for number in range(3_000):
+            for orders in services:
+                next(orders.iterate(f"{number}-{'x' * 5_000}", "a1"), None)
+                next(orders.iterate("often", "a1"), None)
+            if number >= 300:
+                sizes.append(tracemalloc.get_traced_memory()[0])
+    finally:
+        tracemalloc.stop()
+    assert sum(len(orders.kept) for orders in services) == 300
+    assert max(sizes) < 300 * 5_000
+    assert all(
+        (xxhash.xxh3_128_intdigest(b"often"), "a1") in orders.kept
+        for orders in services
+    )
+
+
 def test_service_without_instances_has_an_empty_order():
     assert list_ids(ServiceOrders(Fleet({}), SERVICE, rank_zone), "7") == []
