Accept conditions without an era, and show the era and its age to operators

Found by reading: an entry that follows one of an older version has records whose positions state no era. Each conditional write of it was rejected as one of an earlier era, so that the allocation of quotas could not be written during a rolling upgrade. Such a condition is now sent as before (test_condition_from_an_entry_of_an_older_version_is_sent).

--- a/src/masticdeck/entry/operator_views.py
+++ b/src/masticdeck/entry/operator_views.py
@@ -107,11 +107,13 @@
 
 
 def status_view(node: Node, rollout: Rollout) -> dict[str, Any]:
-    """Return this entry's version and what it knows of its peers'."""
+    """Return this entry's version, and what it knows of its peers' and of the store."""
     return {
         "entry": node.id,
         "zone": node.entry.zone,
         "version": rollout.version,
         "digest": rollout.digest,
+        "era": node.store.era,
+        "era_age_s": node.store.era_age_s(),
         "known": rollout.is_initialized and not rollout.may_be_stale,
     }
--- a/src/masticdeck/platform/store.py
+++ b/src/masticdeck/platform/store.py
@@ -88,6 +88,10 @@
         """Return the newest era that the store is known to have reached."""
         return self.eras.era
 
+    def era_age_s(self) -> float | None:
+        """Return the time since the present era began, None if that was not seen."""
+        return self.eras.age_s()
+
     def note_era(self, era: Era) -> None:
         """Take in that the store has reached an era."""
         self.eras.advance_to(era)
--- a/src/masticdeck/programs/ctl_commands.py
+++ b/src/masticdeck/programs/ctl_commands.py
@@ -204,7 +204,10 @@
         return answer | {"url": url}
 
     answers = await asyncio.gather(*(ask(url) for url in entries.urls))
-    columns = ["entry", "zone", "version", "known", "watcher", "error"]
+    columns = [
+        *("entry", "zone", "version", "era", "era_age_s"),
+        *("known", "watcher", "error"),
+    ]
     rows = [
         [one.get("entry") or one["url"], *(one.get(name) for name in columns[1:])]
         for one in answers
--- a/src/masticdeck/protocol/positions.py
+++ b/src/masticdeck/protocol/positions.py
@@ -9,8 +9,10 @@
 from __future__ import annotations
 
 import logging
+import math
 from typing import final
 
+from masticdeck.clock import boottime
 from masticdeck.errors import StoreConflict, StoreUnavailable
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Era, LeaseId, Revision
@@ -98,11 +100,22 @@
         self.events = events
         self.metrics = metrics
         self.era = NO_ERA
+        self.begun_at = -math.inf
         self.is_faulty = False
 
     def advance_to(self, era: Era) -> None:
-        """Take in an era that the store has, as another entry says."""
-        self.era = max(self.era, era)
+        """Take in an era that the store has; the first one known has not begun now."""
+        if era > self.era:
+            self.begun_at = boottime() if self.era else -math.inf
+            self.era = era
+
+    def age_s(self) -> float | None:
+        """Return the time since the present era was seen to begin, None if it was not.
+
+        An entry that has started since then has not seen it.
+        """
+        age_s = boottime() - self.begun_at
+        return None if age_s == math.inf else age_s
 
     def read(self, stated: str | None, sent_in: Era) -> Era:
         """Return the era of an answer to a call.
@@ -122,16 +135,17 @@
                 raise StoreUnavailable(f"answer of era {era} after {self.era}")
             return self.ignore(f"era {era} after {self.era}")
         self.is_faulty = False
-        self.era = era
+        self.advance_to(era)
         return era
 
     def counter_expected(self, position: Revision) -> int:
         """Return the counter that a write expects, or raise StoreConflict.
 
-        In another era the same counter stands for another write.
+        In another era the same counter stands for another write. The position of a
+        record that came through an entry of an older version states no era.
         """
         self.advance_to(era_of(position))
-        if position and era_of(position) < self.era:
+        if NO_ERA < era_of(position) < self.era:
             raise StoreConflict(f"revision of era {era_of(position)}, now {self.era}")
         return counter_of(position)
 
@@ -140,7 +154,7 @@
 
         The write has been applied over an unknown value, so it has to be read back.
         """
-        if position and era_of(position) < answered_in:
+        if NO_ERA < era_of(position) < answered_in:
             raise StoreUnavailable("the store came back from a copy during the write")
 
     def name_lease(self, number: str, era: Era) -> LeaseId:
--- a/testing/coordination/helpers.py
+++ b/testing/coordination/helpers.py
@@ -49,6 +49,9 @@
         self.calls = 0
         self.era = NO_ERA
 
+    def era_age_s(self) -> float | None:
+        return None
+
     def check_available(self) -> None:
         self.calls += 1
         if self.down:
--- a/testing/coordination/test_ownership.py
+++ b/testing/coordination/test_ownership.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import copy
+from types import SimpleNamespace
 from typing import Any
 
 import pytest
@@ -10,6 +11,7 @@
 from bench.standins.platform import Platform
 from masticdeck.coordination import ownership as ownership_module
 from masticdeck.coordination.ownership import Fence, Ownership, rendezvous_order
+from masticdeck.entry.operator_views import status_view
 from masticdeck.ids import EntryId, FencingToken
 from masticdeck.protocol.positions import counter_of
 from testing.coordination.helpers import (
@@ -119,6 +121,9 @@
     assert not fence.accept("region/x", first.token)
     stores[0].note_era(stores[1].era)
     assert not first.is_valid()
+    rollout = SimpleNamespace(version=1, digest="", is_initialized=False)
+    view = status_view(first.node, rollout)
+    assert (view["era"], view["era_age_s"] is None) == (1, True)
     for owner in (first, second):
         await owner.stop()
 
--- a/testing/platform/test_store.py
+++ b/testing/platform/test_store.py
@@ -16,7 +16,7 @@
 from masticdeck.ids import Era, Revision
 from masticdeck.platform import store as store_module
 from masticdeck.protocol import store as store_protocol
-from masticdeck.protocol.positions import era_of, pack_position
+from masticdeck.protocol.positions import counter_of, era_of, pack_position
 from masticdeck.protocol.store import ABSENT
 from testing.platform.standin_store import Lease
 
@@ -219,6 +219,19 @@
             await store.put("a", b"2", expect=revision)
         assert standin.calls == []
 
+    async def test_condition_from_an_entry_of_an_older_version_is_sent(self, store):
+        """Guards against writers that follow such an entry and may never write."""
+        revision = await store.put("a", b"1", expect=ABSENT)
+        bare = Revision(counter_of(revision))
+        assert era_of(await store.put("a", b"2", expect=bare)) == 1
+
+    async def test_age_of_an_era_is_that_since_its_begin_was_seen(self, store, standin):
+        await store.list("")
+        assert store.era_age_s() is None
+        standin.restore(standin.copy())
+        await store.list("")
+        assert 0 <= store.era_age_s() < 5
+
     async def test_write_that_meets_a_new_era_is_not_taken_for_done(
         self, store, standin
     ):
