Pass on what a restoration holds back, and let an entry that starts in it use the copy

Found by reading: an entry that starts within a restoration and follows another one got the records that its source had kept, but not the older ones of the copy that its source held back, and never let the kept ones lapse, as it had seen no era begin. Held records now follow the others in a listing, and the first era known to a replica begins a restoration as well.

Test: test_follower_that_starts_in_the_middle_uses_the_copy_when_it_is_due, red before: {'counted/a': b'7'} == {'counted/a': b'6'}.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -266,20 +266,22 @@
         """Replace all records by a full listing as of ``revision``.
 
         Records of an earlier era that are not listed remain for the time in which they
-        may be written again.
+        may be written again. The listing of another entry may have a record twice: the
+        one in use, and then the older one of the copy that it holds back.
         """
         self.begin_era_of(revision)
-        listed_records = {item.key: item for item in items}
+        listed_records = list(items)
+        listed_keys = {item.key for item in listed_records}
         removed_keys = [
             key
             for key, item in self.records.items()
-            if key not in listed_records
+            if key not in listed_keys
             and item.revision <= revision
             and not is_unrestored(item, revision)
         ]
         for key in removed_keys:
             self.apply_change(Change(key, None, revision))
-        for item in listed_records.values():
+        for item in listed_records:
             self.apply_change(Change(item.key, item.value, item.revision))
         self.advance_to(revision)
         self.recent_changes.clear()
@@ -290,12 +292,15 @@
         """Prepare for the first records of a new era.
 
         Leases may end in the moments after it, as after an outage, although those who
-        held them live.
+        held them live. To a replica without records it is no new one, but its source
+        may pass on records of the era before.
         """
-        if not self.revision or era_of(revision) <= self.era:
+        if era_of(revision) <= self.era:
             return
         now = boottime()
         self.restoration.begin(revision, now)
+        if not self.revision:
+            return
         self.outage_ended_at = now
         for handler in self.on_era_begun:
             handler(era_of(revision))
@@ -354,6 +359,7 @@
             verdict = self.restoration.judge(change, record)
             if verdict is Verdict.HOLD:
                 self.restoration.held[change.key] = change
+                self.note_recent_change(change)
                 return
             if verdict is Verdict.ADOPT and record is not None:
                 self.restoration.held.pop(change.key, None)
@@ -398,8 +404,9 @@
         age_s = self.age_s(now)
         if revision < self.recent_changes_after:
             records = self.records.values()
-            changes = tuple(
-                Change(record.key, record.value, record.revision) for record in records
+            changes = (
+                *(Change(one.key, one.value, one.revision) for one in records),
+                *self.restoration.held.values(),
             )
             return FeedUpdate(
                 True,
--- a/src/masticdeck/coordination/restoration/restoration.py
+++ b/src/masticdeck/coordination/restoration/restoration.py
@@ -62,7 +62,7 @@
     """Judges the records of a new era against those of the eras before it.
 
     ``held`` has the changes that were held back, by key. ``began_at`` is the boot time
-    at which the present era was first seen, minus infinity if it is the first one, and
+    at which the present era was first seen, minus infinity without one, and
     ``listed_at`` the position of the first records that were seen of it. ``is_pending``
     states that records may still lapse or fall due.
     """
--- a/testing/coordination/test_restoration.py
+++ b/testing/coordination/test_restoration.py
@@ -240,6 +240,20 @@
         self.pass_on(source, follower, without_era=False)
         assert follower.listener.in_use[COUNTED] == b"8"
 
+    def test_follower_that_starts_in_the_middle_uses_the_copy_when_it_is_due(
+        self, monkeypatch
+    ):
+        """Guards against a follower that lacks what its source holds back."""
+        source, follower = Entry(monkeypatch), Entry(monkeypatch)
+        source.list(1, 40, counted__a=(40, b"7"))
+        source.list(2, 25, counted__a=(20, b"6"))
+        self.pass_on(source, follower, without_era=False)
+        assert follower.listener.in_use == {COUNTED: b"7"}
+        source.now = follower.now = source.now + EXPIRY_S + 0.1
+        for one in (source, follower):
+            one.pass_time(0.0)
+            assert one.listener.in_use == {COUNTED: b"6"}
+
     def test_message_of_an_older_version_belongs_to_the_era_of_its_reader(
         self, monkeypatch
     ):
