Count no rest of a body as the head of the next request

Callers of masticdeck-entry that were answered before their body had arrived (a refusal, an unknown service, a body over the limit) saw their kept connection closed with 431 within the body, or with 408 without a request; a request sent just before got that answer as its own.

Cause: entry/connections.py took all bytes for a head while no request was being served, and aiohttp reads the rest of an answered body for up to 2 s. 64 KB of it were a head that is too large, and its first bytes started the time for a head. Ruled out: the length of the request that got the 431.

A connection now keeps the body of its latest request, and counts a head only after that body's end.

The new test failed before, by length and by chunks ("unable to perform operation on <TCPTransport closed=True ...>" at the next request), and passes now. The gateway reads requests whole and drops what follows a refusal: not affected.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -459,6 +459,15 @@
         test="testing/entry/test_caller_memory.py"
         "::test_crowd_of_legal_requests_stays_within_the_memory",
     ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="the rest of a body is no head",
+        file=f"{SOURCE}/entry/connections.py",
+        old="        return not self.payload.is_eof()",
+        new="        return False",
+        test="testing/entry/test_forward.py"
+        "::test_body_that_follows_its_answer_is_not_taken_for_the_next_head",
+    ),
     Mutant(
         promise="an entry lives on whatever the store answers",
         mechanism="an answer of the store is bounded",
--- a/src/masticdeck/entry/connections.py
+++ b/src/masticdeck/entry/connections.py
@@ -6,7 +6,7 @@
 from http import HTTPStatus
 from typing import Any
 
-from aiohttp import web
+from aiohttp import EMPTY_PAYLOAD, StreamReader, web
 from aiohttp.http_exceptions import LineTooLong
 
 from masticdeck.config import Config
@@ -45,6 +45,7 @@
         self.unparsed = b""
         self.head_bytes = 0
         self.begun_count = 0
+        self.payload: StreamReader = EMPTY_PAYLOAD
 
     def data_received(self, data: bytes) -> None:
         """Take bytes from the caller and note when a head begins.
@@ -54,7 +55,7 @@
         if not data:
             super().data_received(data)
             return
-        if self.waiting_since is None and not self.busy:
+        if self.waiting_since is None and not self.busy and not self.in_body():
             self.waiting_since = asyncio.get_running_loop().time()
         self.parse_ahead(data)
 
@@ -68,14 +69,22 @@
         while position < len(data) and not self._messages and self.is_open():
             part = data[position : position + SLICE_BYTES]
             position += SLICE_BYTES
+            in_body = self.in_body()
             super().data_received(part)
-            self.check_head(len(part))
+            self.check_head(0 if in_body else len(part))
         self.unparsed = data[position:] if self.is_open() else b""
         if len(self.unparsed) > MAX_UNPARSED_BYTES and self.transport is not None:
             self.transport.abort()
         elif self.unparsed and self.transport is not None:
             self.transport.pause_reading()
 
+    def in_body(self) -> bool:
+        """Return whether the rest of a body is due, also after its answer.
+
+        aiohttp reads and drops what follows an early answer, for its lingering time.
+        """
+        return not self.payload.is_eof()
+
     def is_open(self) -> bool:
         """Return whether anything is still read from the caller."""
         return self.transport is not None and not self.transport.is_closing()
@@ -90,9 +99,13 @@
             self.transport.write(closing_answer(FieldsTooLarge()))
             self.transport.close()
 
-    def begin(self) -> None:
-        """Note that the head has arrived and the request is served."""
+    def begin(self, payload: StreamReader) -> None:
+        """Note that the head has arrived and the request is served.
+
+        ``payload`` is its body, which may still be on its way.
+        """
         self.busy = True
+        self.payload = payload
         self.waiting_since = None
         self.begun_count += 1
         if self.unparsed:
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -66,7 +66,7 @@
         connection = request.protocol
         if not isinstance(connection, CallerConnection):
             return await self.handle(request)
-        connection.begin()
+        connection.begin(request.content)
         try:
             return await self.handle(request)
         finally:
--- a/testing/entry/test_forward.py
+++ b/testing/entry/test_forward.py
@@ -7,6 +7,7 @@
 import hashlib
 import json
 import os
+import re
 from pathlib import Path
 
 import psutil
@@ -90,6 +91,43 @@
     assert (status, json.loads(body)["code"]) == (408, "MD2006")
 
 
+@pytest.mark.parametrize("chunked", [False, True])
+async def test_body_that_follows_its_answer_is_not_taken_for_the_next_head(
+    fleet, chunked
+):
+    """Guards against a request answered with the 431 or 408 of an earlier body."""
+    node = fleet.deployment["entries"][0]
+    reader, writer = await asyncio.open_connection(node["host"], node["http_port"])
+    piece = b"x" * 20_000
+    framing = f"Content-Length: {3 * len(piece)}"
+    if chunked:
+        framing = "Transfer-Encoding: chunked"
+        piece = b"%x\r\n%b\r\n" % (len(piece), piece)
+
+    async def read_status() -> int:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode()
+        [length] = re.findall(r"Content-Length: ([0-9]+)", head)
+        await reader.readexactly(int(length))
+        return int(head.split()[1])
+
+    head = f"POST /service/none/a HTTP/1.1\r\nHost: x\r\n{framing}\r\n\r\n"
+    async with asyncio.timeout(10):
+        writer.write(head.encode())
+        assert await read_status() == 404
+        for _ in range(3):
+            writer.write(piece)
+            await asyncio.sleep(0.5)
+        if chunked:
+            writer.write(b"0\r\n\r\n")
+        await asyncio.sleep(1.0)
+        writer.write(get(f"/service/{SERVICE}/a"))
+        assert await read_status() == 200
+        # The limits of a head hold for the next one.
+        writer.write(b"GET /lookup HTTP/1.1\r\nHost:")
+        assert await read_status() == 408
+    writer.close()
+
+
 async def test_slow_body_ends_at_the_deadline(fleet):
     raw = (
         f"POST /service/{SERVICE}/a HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n"
