Reset requests that are given up, so that no partition delivers them later

Cause: an exchange that is given up ended by abort(), which closes the socket in an orderly way; the kernel goes on delivering what it holds. Ruled out: an old view of the zone (the request was sent 2.5 s before the evacuation), and TCP_USER_TIMEOUT, which does not end a connection that is closed before it.

Connections on which requests are sent now have SO_LINGER of 0 while an exchange is open, in masticdeck-gateway and, by transport/answers.py, in masticdeck-entry and for calls of the store. Idle ones end as before.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -468,6 +468,23 @@
         test="testing/entry/test_forward.py"
         "::test_body_that_follows_its_answer_is_not_taken_for_the_next_head",
     ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="a gateway resets a request that is given up",
+        file=f"{SOURCE}/transport/http1_client.py",
+        old="        set_reset_on_close(transport, True)",
+        new="        set_reset_on_close(transport, False)",
+        test="testing/transport/test_http1_client.py"
+        "::test_request_that_is_given_up_is_reset",
+    ),
+    Mutant(
+        promise="a leaving backend server gets no new work",
+        mechanism="an entry resets a request that is given up",
+        file=f"{SOURCE}/transport/answers.py",
+        old="        set_reset_on_close(transport, True)",
+        new="        set_reset_on_close(transport, False)",
+        test="testing/protocol/test_backend.py::test_request_that_is_given_up_is_reset",
+    ),
     Mutant(
         promise="an entry lives on whatever the store answers",
         mechanism="an answer of the store is bounded",
--- a/src/masticdeck/transport/answers.py
+++ b/src/masticdeck/transport/answers.py
@@ -18,6 +18,7 @@
 from aiohttp.streams import StreamReader
 
 from masticdeck.transport.http1 import is_final_status, is_interim_status
+from masticdeck.transport.sockets import set_reset_on_close
 
 MAX_INTERIM_ANSWERS = 64
 """Most interim answers to a request."""
@@ -33,11 +34,25 @@
 
     interim_answers = 0
     body: StreamReader | None = None
+    used = False
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over a connected socket."""
+        super().connection_made(transport)
+        set_reset_on_close(transport, True)
+
+    def close(self) -> None:
+        """Close the connection, and reset it if its exchange is not complete."""
+        is_idle = not self.used or (self.body is not None and self.body.is_eof())
+        if is_idle and self.transport is not None:
+            set_reset_on_close(self.transport, False)
+        super().close()
 
     def set_response_params(self, **parameters: Any) -> None:
         """Prepare for the answer to the next request."""
         self.interim_answers = 0
         self.body = None
+        self.used = True
         super().set_response_params(**parameters)
 
     def data_received(self, data: bytes) -> None:
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -23,6 +23,7 @@
     is_final_status,
     is_interim_status,
 )
+from masticdeck.transport.sockets import set_reset_on_close
 
 MAX_BUFFERED_BYTES = 65_536
 """Unread body bytes at which a connection stops reading."""
@@ -179,16 +180,21 @@
     def finish(self) -> bool:
         """End the exchange; return whether the connection may be used again."""
         reusable = self.complete and self.reusable and not self.closed
-        self.end_exchange()
         if not reusable:
             self.close()
+        self.end_exchange()
         self.idle_since = boottime()
         return reusable
 
     def close(self) -> None:
-        """Close the connection, which also cancels what runs on it."""
+        """Close the connection, and reset it if its exchange is not complete.
+
+        Either cancels what runs on it.
+        """
         self.closed = True
         if self.transport is not None:
+            if not self.busy or self.complete:
+                set_reset_on_close(self.transport, False)
             self.transport.abort()
 
     # asyncio.BufferedProtocol
@@ -201,6 +207,7 @@
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
+        set_reset_on_close(transport, True)
 
     def get_buffer(self, sizehint: int) -> memoryview:
         """Return the buffer of all connections, emptied after each read."""
--- a/testing/protocol/test_backend.py
+++ b/testing/protocol/test_backend.py
@@ -67,7 +67,9 @@
 
 @pytest.fixture
 async def backends(raw_backend):
-    server = await asyncio.start_server(raw_backend.serve, "127.0.0.1", 0)
+    server = await asyncio.start_server(
+        lambda *streams: raw_backend.serve(*streams), "127.0.0.1", 0
+    )
     port = server.sockets[0].getsockname()[1]
     instance = SimpleNamespace(
         id=INSTANCE, host="127.0.0.1", port=port, connections=100
@@ -189,12 +191,13 @@
     """Send a piece until the connection ends, and return how many bytes it took."""
     size = 0
     try:
-        while True:
+        while not writer.transport.is_closing():
             writer.write(piece)
             await writer.drain()
             size += len(piece)
     except ConnectionError:
-        return size
+        pass
+    return size
 
 
 @pytest.mark.parametrize("part_bytes", [len(INTERIM), 1_000, 100_000])
@@ -321,6 +324,49 @@
         await ended
 
 
+@pytest.mark.parametrize("in_body", [False, True])
+async def test_request_that_is_given_up_is_reset(raw_backend, backends, in_body):
+    """Guards against a request that runs when a partition that held it up ends."""
+    begun = asyncio.Event()
+    ended = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        begun.set()
+        if in_body:
+            head = f"HTTP/1.1 200 OK\r\n{REQUEST_ID}: id-/1\r\n\r\npart"
+            writer.write(head.encode())
+        try:
+            ended.set_result(await reader.read(1))
+        except ConnectionError as error:
+            ended.set_result(error)
+
+    raw_backend.serve = serve
+    sending = asyncio.create_task(send(backends, "/1"))
+    await begun.wait()
+    if in_body:
+        (await sending).close()
+    else:
+        sending.cancel()
+    async with asyncio.timeout(2):
+        assert isinstance(await ended, ConnectionResetError)
+
+
+async def test_idle_connection_ends_in_an_orderly_way(raw_backend, backends):
+    ended = asyncio.get_running_loop().create_future()
+
+    async def serve(reader, writer) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(render_answer("/1", "id-/1"))
+        ended.set_result(await reader.read(1))
+
+    raw_backend.serve = serve
+    assert await ask(backends, "/1") == "/1"
+    await backends.stop()
+    async with asyncio.timeout(2):
+        assert await ended == b""
+
+
 @pytest.mark.parametrize(
     "framing", ["Content-Length: 5", "Connection: close", "Transfer-Encoding: chunked"]
 )
--- a/testing/transport/test_http1_client.py
+++ b/testing/transport/test_http1_client.py
@@ -5,6 +5,8 @@
 import asyncio
 import socket
 import struct
+import subprocess
+import sys
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -132,6 +134,63 @@
     connection.close()
 
 
+@pytest.mark.parametrize(
+    "part",
+    [
+        pytest.param(b"", id="no answer"),
+        pytest.param(UNFRAMED, id="part of an unframed answer"),
+        pytest.param(WHOLE[:-2], id="part of a framed answer"),
+    ],
+)
+async def test_request_that_is_given_up_is_reset(instance, part):
+    """Guards against a request that runs when a partition that held it up ends."""
+    connection = await connect("127.0.0.1", instance.port, timeout_s=2)
+    connection.begin(REQUEST, bodyless=False, accepts=lambda *_: True)
+    raw = await asyncio.to_thread(instance.accept)
+    raw.sendall(part)
+    if part:
+        await connection.read_head()
+    assert not connection.finish()
+    with raw, pytest.raises(ConnectionResetError):
+        await asyncio.to_thread(raw.recv, 1)
+
+
+KILLED_SENDER = """
+import asyncio, os, signal, sys
+from masticdeck.transport.http1_client import connect
+
+async def main():
+    connection = await connect("127.0.0.1", int(sys.argv[1]), timeout_s=2)
+    connection.begin(sys.argv[2].encode(), bodyless=False, accepts=lambda *_: True)
+    await asyncio.sleep(0.2)
+    os.kill(os.getpid(), signal.SIGKILL)
+
+asyncio.run(main())
+"""
+
+
+def test_request_of_a_killed_process_is_reset(instance):
+    arguments = [sys.executable, "-c", KILLED_SENDER, str(instance.port), REQUEST]
+    with subprocess.Popen(arguments):
+        raw = instance.accept()
+        with raw, pytest.raises(ConnectionResetError):
+            raw.recv(1)
+
+
+async def test_idle_connection_ends_in_an_orderly_way(instance):
+    kept: list[socket.socket] = []
+
+    def act(raw: socket.socket) -> None:
+        kept.append(raw)
+        raw.sendall(WHOLE)
+
+    connection, _ = await ask(instance, act)
+    assert connection.finish()
+    connection.close()
+    with kept[0] as raw:
+        assert await asyncio.to_thread(raw.recv, 1) == b""
+
+
 async def test_bytes_on_an_idle_connection_close_it(instance):
     kept: list[socket.socket] = []
 
