See callers leave whose connections are not read

Cause: a connection with many requests waiting is not read, and its end lies behind what is not read. Ruled out: the cancellation, which works where the connection is read; the bounds on what is read ahead, which any caller may reach.

DepartureWatch asks the kernel for the end or reset of such connections (EPOLLRDHUP) and ends them at once. masticdeck-gateway watches while it does not read, masticdeck-entry from the head of a request to the end of its answer, since it stops reading within bodies, too.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -485,6 +485,24 @@
         new="        set_reset_on_close(transport, False)",
         test="testing/protocol/test_backend.py::test_request_that_is_given_up_is_reset",
     ),
+    Mutant(
+        promise="a faulty caller harms no other request",
+        mechanism="a gateway sees a caller leave that it does not read",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="            self.server.departures.watch(self.transport, self.abort)\n",
+        new="",
+        test="testing/transport/test_http1_server.py"
+        "::test_caller_that_leaves_while_many_requests_wait_is_not_served",
+    ),
+    Mutant(
+        promise="a faulty caller harms no other request",
+        mechanism="an entry sees a caller leave that it does not read",
+        file=f"{SOURCE}/entry/connections.py",
+        old="            self.departures.watch(self.watched, self.watched.abort)\n",
+        new="",
+        test="testing/entry/test_forward.py"
+        "::test_departed_callers_requests_do_not_follow_one_another",
+    ),
     Mutant(
         promise="an entry lives on whatever the store answers",
         mechanism="an answer of the store is bounded",
--- a/src/masticdeck/entry/connections.py
+++ b/src/masticdeck/entry/connections.py
@@ -18,6 +18,7 @@
     RequestInvalid,
 )
 from masticdeck.protocol import headers
+from masticdeck.transport.departures import DepartureWatch
 
 MAX_FIELDS = 128
 MAX_HEAD_RATIO = 4
@@ -42,6 +43,9 @@
         self.busy = False
         self.waiting_since: float | None = None
         self.max_head_bytes = MAX_HEAD_RATIO * server.max_header_bytes
+        self.departures = server.departures
+        # The library forgets its transport before the connection is lost.
+        self.watched: asyncio.Transport | None = None
         self.unparsed = b""
         self.head_bytes = 0
         self.begun_count = 0
@@ -102,9 +106,13 @@
     def begin(self, payload: StreamReader) -> None:
         """Note that the head has arrived and the request is served.
 
-        ``payload`` is its body, which may still be on its way.
+        ``payload`` is its body, which may still be on its way. Requests and bodies
+        that wait stop the reading, so that the caller's leaving is watched for.
         """
         self.busy = True
+        if self.transport is not None:
+            self.watched = self.transport
+            self.departures.watch(self.watched, self.watched.abort)
         self.payload = payload
         self.waiting_since = None
         self.begun_count += 1
@@ -117,6 +125,18 @@
     def end(self) -> None:
         """Note that the request has been answered."""
         self.busy = False
+        self.unwatch()
+
+    def unwatch(self) -> None:
+        """Leave it to reading to show that the caller has left."""
+        if self.watched is not None:
+            self.departures.unwatch(self.watched)
+            self.watched = None
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Cancel what is done for the caller."""
+        self.unwatch()
+        super().connection_lost(exc)
 
     def expire(self) -> None:
         """Answer an unfinished head with HeadTooSlow and close."""
@@ -171,6 +191,7 @@
 
     def __init__(self, handler: Any, config: Config) -> None:
         super().__init__(handler, handler_cancellation=True)
+        self.departures = DepartureWatch()
         self.header_timeout_s = config.header_timeout_s
         self.max_header_bytes = config.max_header_bytes
         self.options: dict[str, Any] = {
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -15,6 +15,7 @@
 from masticdeck.entry.problem import error_response
 from masticdeck.errors import RequestInvalid
 from masticdeck.node import Node
+from masticdeck.transport.departures import DepartureWatch
 
 
 class EntryServer:
@@ -38,10 +39,13 @@
         self.leaving = False
         self.runner: web.ServerRunner | None = None
         self.sweeper: asyncio.Task[None] | None = None
+        self.departures: DepartureWatch | None = None
 
     async def start(self) -> None:
         """Start to listen."""
         server = CallerServer(self.serve, self.node.config)
+        self.departures = server.departures
+        self.departures.start()
         self.runner = web.ServerRunner(server, shutdown_timeout=1.0)
         await self.runner.setup()
         entry = self.node.entry
@@ -60,6 +64,8 @@
             self.sweeper.cancel()
         if self.runner is not None:
             await self.runner.cleanup()
+        if self.departures is not None:
+            self.departures.stop()
 
     async def serve(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and tell its connection of the beginning and end."""
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -24,6 +24,7 @@
     CallerMemory,
     Holding,
 )
+from masticdeck.transport.departures import DepartureWatch
 from masticdeck.transport.http1 import (
     BODYLESS,
     HeaderList,
@@ -208,6 +209,13 @@
         """Read nothing more until requests that wait have had their turn."""
         if self.transport is not None and not self.discarding:
             self.transport.pause_reading()
+            self.server.departures.watch(self.transport, self.abort)
+
+    def resume_reading(self) -> None:
+        """Read again, which shows whether the caller has left."""
+        if self.transport is not None and not self.closed:
+            self.server.departures.unwatch(self.transport)
+            self.transport.resume_reading()
 
     def is_ahead(self) -> bool:
         """Return whether enough requests wait for their turn."""
@@ -279,6 +287,8 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what is done for the caller."""
         self.closed = True
+        if self.transport is not None:
+            self.server.departures.unwatch(self.transport)
         self.holding.end()
         self.unparsed = b""
         self.writable.set()
@@ -462,8 +472,8 @@
         """Parse what was left, and read again once all of it is parsed."""
         if self.unparsed:
             self.parse_ahead(b"")
-        if self.transport is not None and not self.closed and not self.is_ahead():
-            self.transport.resume_reading()
+        if not self.is_ahead():
+            self.resume_reading()
 
     async def answer(self, request: InboundRequest) -> None:
         """Answer one request."""
@@ -493,7 +503,7 @@
         self.waiting.clear()
         self.holding.release_head(self.holding.head_bytes)
         self.holding.release_body(self.holding.body_bytes)
-        self.transport.resume_reading()
+        self.resume_reading()
         await self.writable.wait()
         if not self.transport.is_closing():
             self.transport.write_eof()
@@ -635,6 +645,7 @@
         self.limits = limits
         self.connections: set[CallerConnection] = set()
         self.memory = memory or CallerMemory()
+        self.departures = DepartureWatch()
         self.closing = False
         self.ticked_at = boottime()
         self.paused_at = self.resumed_at = float("-inf")
@@ -663,6 +674,7 @@
         )
         if self.port == 0:
             self.port = self.server.sockets[0].getsockname()[1]
+        self.departures.start()
         self.ticked_at = boottime()
         self.ticker = asyncio.create_task(self.tick())
 
@@ -692,6 +704,7 @@
         for connection in list(self.connections):
             if connection.transport is not None:
                 connection.transport.close()
+        self.departures.stop()
 
     def begin_close(self) -> None:
         """Let each answer end its connection, and close those without work."""
--- a/testing/entry/test_forward.py
+++ b/testing/entry/test_forward.py
@@ -183,6 +183,23 @@
     await until(fleet, lambda one: one["cancelled"] == 1)
 
 
+async def test_departed_callers_requests_do_not_follow_one_another(fleet):
+    """Guards against requests that reach instances long after their caller left."""
+    for instance in fleet.deployment["instances"]:
+        if instance["service"] == SERVICE:
+            await fleet.control_instance(instance["id"], service_ms=2_000)
+    node = fleet.deployment["entries"][0]
+    _, writer = await asyncio.open_connection(node["host"], node["http_port"])
+    padding = "A: " + "x" * 4_000
+    writer.write(get(f"/service/{SERVICE}/a", padding) * 12)
+    await until(fleet, lambda one: one["in_flight"] == 1)
+    writer.close()
+    await until(fleet, lambda one: one["cancelled"] == 1)
+    await asyncio.sleep(0.5)
+    stats = (await fleet.instance_stats()).values()
+    assert sum(one["ran"] + one["in_flight"] + one["cancelled"] for one in stats) == 1
+
+
 def open_descriptors(pid: int) -> list[str]:
     """Return what the descriptors of a process stand for."""
     return [os.readlink(one) for one in list(Path(f"/proc/{pid}/fd").iterdir())]
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 import tracemalloc
 from collections.abc import AsyncIterator
@@ -14,6 +15,7 @@
 from masticdeck.state.routes import CallerLimits
 from masticdeck.transport import http1_server
 from masticdeck.transport.http1_server import (
+    MAX_READ_AHEAD,
     MAX_TICK_DELAY_S,
     RESUME_S,
     TICK_S,
@@ -357,6 +359,61 @@
                 await asyncio.sleep(0.01)
 
 
+LARGE_REQUEST = REQUEST[:-2] + b"Cookie: " + b"c" * 8_000 + b"\r\n\r\n"
+
+
+@pytest.mark.parametrize("resets", [False, True])
+@pytest.mark.parametrize(
+    "requests",
+    [
+        pytest.param(REQUEST * (MAX_READ_AHEAD + 8), id="many"),
+        pytest.param(LARGE_REQUEST * 12, id="large"),
+    ],
+)
+async def test_caller_that_leaves_while_many_requests_wait_is_not_served(
+    caller, server, requests, resets
+):
+    """Guards against requests that reach instances long after their caller left."""
+    begun: list[InboundRequest] = []
+    cancelled_at: list[float] = []
+
+    async def answer(request: InboundRequest) -> None:
+        begun.append(request)
+        try:
+            await asyncio.sleep(0.3)
+        except asyncio.CancelledError:
+            cancelled_at.append(time.monotonic())
+            raise
+        request.connection.send_whole(200, [], b"")
+
+    server.handler = answer
+    await asyncio.get_running_loop().sock_sendall(caller, requests)
+    await asyncio.sleep(0.1)
+    [connection] = server.connections
+    assert connection.is_ahead()
+    if resets:
+        linger = struct.pack("ii", 1, 0)
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+    left_at = time.monotonic()
+    caller.close()
+    await asyncio.sleep(0.5)
+    assert len(begun) == len(cancelled_at) == 1
+    assert cancelled_at[0] - left_at < 0.1
+    assert not server.connections
+
+
+async def test_requests_that_waited_are_served_before_the_caller_leaves(
+    caller, handler
+):
+    count = 3 * MAX_READ_AHEAD
+    loop = asyncio.get_running_loop()
+    await loop.sock_sendall(caller, REQUEST * count)
+    received = b""
+    while received.count(b"HTTP/1.1 200") < count:
+        received += await receive(caller)
+    assert len(handler.bodies) == count
+
+
 async def test_upload_in_tiny_chunks_takes_no_more_memory_than_its_bytes(
     caller, server, handler
 ):
