--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -60,10 +60,12 @@
 class Entry:
     """One entry process."""
 
-    def __init__(self, lab: Lab, name: str, zone: str) -> None:
+    def __init__(
+        self, lab: Lab, name: str, zone: str, bounds: dict[str, Any] | None
+    ) -> None:
         self.lab = lab
         self.name = name
-        self.fields = settings_fields(lab.store.address, name=name)
+        self.fields = settings_fields(lab.store.address, name=name, bounds=bounds)
         self.fields.update(zone=zone, limits=MACHINE)
         self.path = lab.folder / f"{name}.yaml"
         self.path.write_text(yaml.safe_dump(self.fields))
@@ -168,15 +170,22 @@
         self.note(f"{instance.id} of {instance.service} is registered")
         return instance
 
-    def configure(self, version: int, routes: list[dict[str, Any]]) -> None:
+    def configure(
+        self,
+        version: int,
+        routes: list[dict[str, Any]],
+        workspaces: list[dict[str, Any]] | None = None,
+    ) -> None:
         """Write a configuration."""
-        fields = json.loads(configuration(version, routes))
+        fields = json.loads(configuration(version, routes, workspaces))
         self.store.write("op/config", json.dumps({**fields, "limits": LIMITS}).encode())
         self.note(f"configuration {version} is acknowledged")
 
-    async def add_entry(self, name: str, zone: str = "cesis-a") -> Entry:
-        """Start an entry."""
-        entry = Entry(self, name, zone)
+    async def add_entry(
+        self, name: str, zone: str = "cesis-a", bounds: dict[str, Any] | None = None
+    ) -> Entry:
+        """Start an entry; ``bounds`` are added to those of its settings."""
+        entry = Entry(self, name, zone, bounds)
         self.entries.append(entry)
         await entry.start()
         return entry
