--- a/review/13/case.py
+++ b/review/13/case.py
@@ -19,11 +19,14 @@
 DRAIN_S = 3.0
 """``drain_timeout`` of the site."""
 
-HELD_UP_AT_S = -3.0
+HELD_UP_AT_S = -2.7
 """When the report is sent that arrives late; times count from the drain's report."""
 
 ARRIVES_AT_S = 3.2
-"""When it arrives: 6.2 s later, after the fifth retransmission of the kernel."""
+"""When it arrives: 5.9 s later, within the 6 s that the pages allow."""
+
+OTHERS = 4
+"""Instances beside the one that leaves, which is a share of 0.2 of its service."""
 
 EXIT_AT_S = 4.2
 """When the instance exits: 1.2 s after it need not serve any longer."""
@@ -131,8 +134,8 @@
     """Let an instance drain; return whether it gets requests after its time."""
     loop = asyncio.get_running_loop()
     leaving = await create_instance(lab, "i0", "cesis-a")
-    await create_instance(lab, "i1", "valmiera-b")
-    await create_instance(lab, "i2", "valmiera-b")
+    for number in range(1, OTHERS + 1):
+        await create_instance(lab, f"i{number}", "valmiera-b")
     lab.configure(1, [route("/u/", "unsafe", "u", timeout="3s", target_latency="1s")])
     entries = [await lab.add_entry(f"entry-{number}") for number in (1, 2)]
     await asyncio.gather(*(call(lab, entry, f"before-{entry.name}") for entry in entries))
