Let a restoration end while no record changes

Callers saw nothing of it yet; found while the time of late reports was written. Cause: a watch without changes ends after 1.2 s, and the next confirmation of the replica is 1.6 s younger than the one before. That is over MAX_UNHEARD_S, 1.5 s, so that all time in a quiet store counted as time in which nobody could write: records that the copy lacks never lapsed, and what is held back never fell due. The bound follows from the watch now.

testing/coordination/test_restoration.py:: test_quiet_store_does_not_delay_the_end_of_a_restoration failed before: AssertionError: assert {'plain/a': b'1'} == {} and passes now, with the 32 others of its file.

--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -61,8 +61,11 @@
 MIN_OUTAGE_S = 2.5
 """Time without contact to the store after which records may have expired."""
 
-MAX_UNHEARD_S = 1.5
-"""Time between two confirmations beyond which writers may have been cut off as well."""
+MAX_UNHEARD_S = WATCH_WAIT_S + 2 * MIN_WATCH_INTERVAL_S
+"""Time between two confirmations beyond which writers may have been cut off as well.
+
+Without changes, they are a whole watch and the time between two watches apart.
+"""
 
 MAX_RECENT_CHANGES = 2_000
 """Recent changes kept for followers; one that lacks more gets a snapshot."""
--- a/testing/coordination/test_restoration.py
+++ b/testing/coordination/test_restoration.py
@@ -191,6 +191,19 @@
     assert entry.listener.in_use == {}
 
 
+def test_quiet_store_does_not_delay_the_end_of_a_restoration(entry):
+    """Guards against records that never lapse while no other record changes."""
+    entry.list(1, 40, plain__a=(40, b"1"))
+    entry.list(2, 25)
+    entry.replica.confirm(entry.now, entry.now)
+    quiet_until = entry.now + 2 * RESTORE_S
+    while entry.now < quiet_until:
+        entry.now += feed.WATCH_WAIT_S + feed.MIN_WATCH_INTERVAL_S
+        entry.replica.confirm(entry.now - feed.MIN_WATCH_INTERVAL_S, entry.now)
+        entry.pass_time(0.0)
+    assert entry.listener.in_use == {}
+
+
 def test_listing_of_an_earlier_era_that_arrives_late_changes_nothing(entry):
     entry.list(2, 25, plain__a=(20, b"new"))
     entry.list(1, 60, plain__a=(60, b"old"))
