Let a health answer undo no drain that was reported after its probe

masticdeck-entry probes each instance once a second, and the answer may be older than a response with Masticdeck-Draining that arrived while the probe was under way. Its 'not leaving' got a newer stamp and put the instance in use again at every entry, until the next probe. A probe's report is stamped with the time at which it was sent.

testing/coordination/test_drains.py::test_health_answer_undoes_no_drain_that_was _reported_after_the_probe: before, Drains.observe took no time of the question (TypeError); with the stamp taken at the answer, as before, it fails (mutant).

--- a/src/masticdeck/coordination/drain_sources.py
+++ b/src/masticdeck/coordination/drain_sources.py
@@ -33,7 +33,9 @@
 MAX_LOGGED_CHARACTERS = 200
 WATCHERS_PER_REGION = 2
 
-ObserveDrain = Callable[[str, DrainSource, bool], None]
+ObserveDrain = Callable[[str, DrainSource, bool, int], None]
+"""Takes a name, its source, whether it is leaving, and the stamp of the question."""
+
 ObserveLeavingNames = Callable[[set[str], DrainSource], None]
 
 
@@ -179,10 +181,12 @@
         """Request an instance's health and report whether it is draining.
 
         A failed probe, or an error status without the draining header, reports
-        nothing.
+        nothing. The answer may have been given as soon as the probe was sent, so it
+        undoes no report that arrived since.
         """
         if self.session is None:
             return
+        asked_at = self.node.clock.stamp()
         url = f"http://{instance.host}:{instance.port}/health"
         try:
             async with self.session.get(url) as response:
@@ -205,7 +209,7 @@
             return
         self.invalid_instances.discard(instance.id)
         if is_draining or response.status == 200:
-            self.observe(instance.id, DrainSource.INSTANCE, is_draining)
+            self.observe(instance.id, DrainSource.INSTANCE, is_draining, asked_at)
 
     def record_invalid(self, instance: Instance, error: ClientError) -> None:
         """Log the first of several invalid health answers of an instance."""
--- a/src/masticdeck/coordination/drains.py
+++ b/src/masticdeck/coordination/drains.py
@@ -87,13 +87,22 @@
         """Record that a response carried the ``Masticdeck-Draining`` header."""
         self.observe(instance, DrainSource.INSTANCE, True)
 
-    def observe(self, name: str, source: DrainSource, leaving: bool) -> None:
-        """Record a source's current report and broadcast it if it is a change."""
+    def observe(
+        self,
+        name: str,
+        source: DrainSource,
+        leaving: bool,
+        asked_at: int | None = None,
+    ) -> None:
+        """Record a source's report and broadcast it if it is a change.
+
+        ``asked_at`` is the stamp from which on the report may hold, None for now. A
+        report that arrived since goes before it.
+        """
         if self.notes.is_reported_leaving(name, source) == leaving:
             return
-        note = DrainNote(
-            name=name, source=source, leaving=leaving, stamp=self.node.clock.stamp()
-        )
+        stamp = self.node.clock.stamp() if asked_at is None else asked_at
+        note = DrainNote(name=name, source=source, leaving=leaving, stamp=stamp)
         self.peer_service.broadcast(self.record_notes([note]))
 
     def observe_all(self, names: set[str], source: DrainSource) -> None:
--- a/testing/coordination/test_drain_sources.py
+++ b/testing/coordination/test_drain_sources.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from masticdeck.clock import HybridClock
 from masticdeck.coordination.drain_sources import (
     MAX_HEALTH_BYTES,
     PROBE_TIMEOUT_S,
@@ -75,11 +76,12 @@
         entry=entry,
         deployment=deployment,
         events=SimpleNamespace(emit=health.record_event),
+        clock=HybridClock(),
     )
     membership = SimpleNamespace(alive_entries=lambda: [entry.id])
     observed: list[bool] = []
     prober = InstanceDrainProber(
-        node, membership, lambda _id, _source, leaving: observed.append(leaving)
+        node, membership, lambda _id, _source, leaving, _at: observed.append(leaving)
     )
     task = asyncio.create_task(prober.run())
     yield observed
--- a/testing/coordination/test_drains.py
+++ b/testing/coordination/test_drains.py
@@ -9,6 +9,7 @@
 from bench.fleet import Fleet
 from masticdeck.coordination.drain_notes import DrainNote, DrainNotes, DrainSource
 from masticdeck.coordination.drains import Drains
+from masticdeck.ids import InstanceId
 from testing.coordination.order_network import HOME, OrderNetwork
 
 SOURCES = {
@@ -138,6 +139,18 @@
     assert not drains.leaving_names
 
 
+def test_health_answer_undoes_no_drain_that_was_reported_after_the_probe():
+    """Guards against an older word of an instance that arrives after a newer one."""
+    node = OrderNetwork(entries=2).entries[HOME].node
+    drains = Drains(node, cast(Any, EmptyMembership()))
+    asked_at = node.clock.stamp()
+    drains.observe_draining_header(InstanceId("katalogs-1"))
+    drains.observe("katalogs-1", DrainSource.INSTANCE, False, asked_at)
+    assert drains.leaving_names == {"katalogs-1"}
+    drains.observe("katalogs-1", DrainSource.INSTANCE, False, node.clock.stamp())
+    assert not drains.leaving_names
+
+
 async def test_note_is_sent_to_the_own_zone_and_to_one_entry_of_each_other_zone():
     node = OrderNetwork(entries=9).entries[HOME].node
     entries = [entry.id for entry in node.deployment.entries]
