Order an instance's reports as it wrote them, not as they arrived

Cause: the replica went by the store's revision alone. `born` and `sequence` were read for restorations only, and of several changes in one answer only the last one was applied or passed on to followers.

Evidence: no request reached the instance between drain and late report, so that neither an answer nor a missed drain explains it. `record_held` now tells both orders.

A report older than the known one of its key, or of a start whose record was removed less than 6 s before, is held back for 6 s or until the instance writes again.

Why it works: the pair is the writer's own order, so arrival no longer matters. What still stands after 6 s has a living writer, as a record that nobody renews has expired, so nothing is deaf for good.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -27,7 +27,53 @@
 COLD_PROMISE = "no cold instance is flooded while the store is away"
 RESTORED_PROMISE = "a store that comes back from a copy undoes nothing that is known"
 
+ORDER_PROMISE = "an older report of an instance undoes no newer one"
+RECORD_ORDER = "testing/coordination/test_record_order.py"
+LATE_REPORT = "test_older_report_that_arrives_late_undoes_no_newer_one"
+
 GATEWAY_MUTANTS = (
+    Mutant(
+        promise=ORDER_PROMISE,
+        mechanism="a report that is older than the known one is held back",
+        file=f"{SOURCE}/coordination/record_order/order.py",
+        old="            return order < known_order",
+        new="            return False",
+        test=f"{RECORD_ORDER}::{LATE_REPORT}",
+    ),
+    Mutant(
+        promise=ORDER_PROMISE,
+        mechanism="a removal keeps its order",
+        file=f"{SOURCE}/coordination/record_order/order.py",
+        old="        if removed is None or removed.order is None:",
+        new="        if True:",
+        test=f"{RECORD_ORDER}::{LATE_REPORT}",
+    ),
+    Mutant(
+        promise=ORDER_PROMISE,
+        mechanism="all changes of an instance count, not the last one only",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="        if rules.find(change.key).late_write_s:",
+        new="        if False:",
+        test=f"{RECORD_ORDER}::{LATE_REPORT}",
+    ),
+    Mutant(
+        promise=ORDER_PROMISE,
+        mechanism="a held report is used after a bounded time",
+        file=f"{SOURCE}/coordination/record_order/order.py",
+        old="        return held_s >= rule.late_write_s",
+        new="        return False",
+        test=f"{RECORD_ORDER}"
+        "::test_instance_whose_clock_was_set_back_is_used_although_it_reports_on",
+    ),
+    Mutant(
+        promise=ORDER_PROMISE,
+        mechanism="a probe's answer counts from when it was sent",
+        file=f"{SOURCE}/coordination/drains.py",
+        old="self.node.clock.stamp() if asked_at is None else asked_at",
+        new="self.node.clock.stamp()",
+        test="testing/coordination/test_drains.py"
+        "::test_health_answer_undoes_no_drain_that_was_reported_after_the_probe",
+    ),
     Mutant(
         promise="no process runs out of memory over ordinary requests",
         mechanism="the least recently used order is discarded",
@@ -85,7 +131,7 @@
         promise=RESTORED_PROMISE,
         mechanism="an older record of the copy is held back",
         file=f"{SOURCE}/coordination/feed.py",
-        old="            if verdict is Verdict.HOLD:",
+        old="            if verdict in (Verdict.HOLD_COPY, Verdict.HOLD_LATE):",
         new="            if False:",
         test=f"{RESTORATION}::test_value_in_use_after_a_restoration",
     ),
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -5,8 +5,9 @@
 change never replaces a newer one. An entry that the store rejects follows the
 replica of another entry instead.
 
-Revisions order by the store's era first. In a new era, the store has come back from an
-older copy; ``restoration`` decides what of it replaces what was known before.
+Revisions order by the store's era first. A write that was delayed on its way to the
+store, and a store that has come back from an older copy, put an older value behind a
+newer one; ``record_order`` decides which of the two is in use.
 """
 
 from __future__ import annotations
@@ -22,11 +23,12 @@
 
 from masticdeck.application import BackgroundTask
 from masticdeck.clock import boottime
-from masticdeck.coordination.restoration.restoration import (
-    Restoration,
+from masticdeck.coordination.record_order.order import (
+    RecordOrder,
     Verdict,
     is_unrestored,
 )
+from masticdeck.coordination.record_order.rules import RecordRules
 from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Era, Revision
@@ -124,8 +126,9 @@
     is never later than the truth, whatever was delayed on the way.
 
     Of changes that follow each other quickly, or come during an outage, only the last
-    one is applied. ``on_unseen_record_deleted`` handlers get the keys of records
-    that existed meanwhile and never reached the listener.
+    one is applied, unless their writers state an order. ``on_unseen_record_deleted``
+    handlers get the keys of records that existed meanwhile and never reached the
+    listener, ``on_record_held`` handlers each change that is held back and why.
 
     ``on_era_begun`` handlers get the era when the first records of a new one arrive,
     ``on_record_lapsed`` handlers the key of each record that was not written again in
@@ -133,10 +136,10 @@
     """
 
     def __init__(
-        self, listener: FeedListener, restoration: Restoration | None = None
+        self, listener: FeedListener, order: RecordOrder | None = None
     ) -> None:
         self.listener = listener
-        self.restoration = restoration or Restoration()
+        self.order = order or RecordOrder()
         self.records: dict[str, KeyValue] = {}
         self.deletion_revisions: dict[str, Revision] = {}
         self.revision = Revision(0)
@@ -152,6 +155,7 @@
         self.on_unseen_record_deleted: list[Callable[[str], None]] = []
         self.on_era_begun: list[Callable[[Era], None]] = []
         self.on_record_lapsed: list[Callable[[str, str], None]] = []
+        self.on_record_held: list[Callable[[Change, Verdict], None]] = []
 
     @property
     def era(self) -> Era:
@@ -166,12 +170,11 @@
     def revision_in_store(self, key: str) -> Revision:
         """Return the revision that the store is known to have of a key, 0 without one.
 
-        It differs from that of the record in use while a restoration holds a value of
-        the copy back.
+        It differs from that of the record in use while a value is held back.
         """
-        held = self.restoration.held.get(key)
+        held = self.order.held.get(key)
         if held is not None:
-            return held.revision
+            return held.change.revision
         if key not in self.records or self.is_unrestored(key):
             return ABSENT
         return self.records[key].revision
@@ -255,7 +258,7 @@
         if current_at <= self.confirmed_at:
             return
         if MAX_UNHEARD_S < now - self.confirmed_at < math.inf:
-            self.restoration.extend(now - self.confirmed_at)
+            self.order.extend(now - self.confirmed_at)
         if MIN_OUTAGE_S < now - self.confirmed_at < math.inf:
             if self.store_failed_at > self.confirmed_at:
                 self.outage_ended_at = now
@@ -289,7 +292,7 @@
         self.advance_to(revision)
         self.recent_changes.clear()
         self.recent_changes_after = self.revision
-        self.end_restoration(boottime())
+        self.apply_due_changes(boottime())
 
     def begin_era_of(self, revision: Revision) -> None:
         """Prepare for the first records of a new era.
@@ -301,32 +304,40 @@
         if era_of(revision) <= self.era:
             return
         now = boottime()
-        self.restoration.begin(revision, now)
+        self.order.begin_era(revision, now)
         if not self.revision:
             return
         self.outage_ended_at = now
         for handler in self.on_era_begun:
             handler(era_of(revision))
 
-    def end_restoration(self, now: float) -> None:
+    def apply_due_changes(self, now: float) -> None:
         """Apply what has become of records that nobody has written again in time.
 
         Followers do the same by themselves.
         """
-        if not self.restoration.is_pending:
+        if not self.order.is_pending:
             return
+        if self.order.is_restoring:
+            self.remove_lapsed_records(now)
+        for change in self.order.release_due(now):
+            self.use_change(change)
+            self.notify_lapsed(change.key, "older value used")
+
+    def remove_lapsed_records(self, now: float) -> None:
+        """Remove the records of an earlier era that nobody has written again in time.
+
+        Their writers may only have been unable to write.
+        """
         lapsed = [
             record
             for record in self.records.values()
-            if self.restoration.has_lapsed(record, self.revision, now)
+            if self.order.has_lapsed(record, self.revision, now)
         ]
         for record in lapsed:
             removal = Change(record.key, None, record.revision)
-            self.remove_record(removal, maybe_expired=False)
+            self.remove_record(removal, maybe_expired=False, may_return=True)
             self.notify_lapsed(record.key, "removed")
-        for change in self.restoration.due_changes(now):
-            self.use_change(change)
-            self.notify_lapsed(change.key, "older value used")
 
     def notify_lapsed(self, key: str, reason: str) -> None:
         """Notify listeners of what became of a record that was not written again."""
@@ -342,43 +353,53 @@
         """
         self.begin_era_of(revision)
         known_revision = self.revision
-        for change in newest_by_key(changes):
+        for change in effective_changes(changes, self.order.rules):
             if change.revision > known_revision:
                 self.apply_change(change)
         self.advance_to(revision)
-        self.end_restoration(boottime())
+        self.apply_due_changes(boottime())
 
     def apply_change(self, change: Change) -> None:
         """Apply one change unless a newer one of its key was applied.
 
-        A value of a new era may be held back or only confirm the known one.
+        A value may be held back, or one of a new era only confirm the known one.
         """
         record = self.records.get(change.key)
         applied_revision = self.deletion_revisions.get(change.key, Revision(0))
         applied_revision = applied_revision if record is None else record.revision
         if change.revision <= applied_revision:
             return
-        if applied_revision and era_of(applied_revision) < era_of(change.revision):
-            verdict = self.restoration.judge(change, record)
-            if verdict is Verdict.HOLD:
-                self.restoration.held[change.key] = change
-                self.note_recent_change(change)
+        self.note_recent_change(change)
+        if applied_revision:
+            now = boottime()
+            verdict = self.order.judge(change, record, applied_revision, now)
+            if verdict in (Verdict.HOLD_COPY, Verdict.HOLD_LATE):
+                self.hold_change(change, verdict, now)
                 return
             if verdict is Verdict.ADOPT and record is not None:
-                self.restoration.held.pop(change.key, None)
-                self.note_recent_change(change)
+                self.order.held.pop(change.key, None)
                 self.records[change.key] = replace(record, revision=change.revision)
                 return
-        self.note_recent_change(change)
         self.use_change(change)
 
+    def hold_change(self, change: Change, verdict: Verdict, now: float) -> None:
+        """Hold a change back, which may have been seen before in another listing."""
+        held = self.order.held.get(change.key)
+        if held is not None and held.change.revision >= change.revision:
+            return
+        self.order.hold(change, verdict, now)
+        for handler in self.on_record_held:
+            handler(change, verdict)
+
     def use_change(self, change: Change) -> None:
         """Apply a change, whatever was known of its key."""
-        self.restoration.held.pop(change.key, None)
         maybe_expired = boottime() - self.outage_ended_at < MIN_OUTAGE_S
         if change.value is None:
-            self.remove_record(change, maybe_expired=maybe_expired)
+            self.remove_record(
+                change, maybe_expired=maybe_expired, may_return=maybe_expired
+            )
             return
+        self.order.record_use(change)
         self.deletion_revisions.pop(change.key, None)
         self.records[change.key] = KeyValue(change.key, change.value, change.revision)
         self.listener.record_changed(
@@ -391,11 +412,18 @@
             self.recent_changes_after = self.recent_changes[0].revision
         self.recent_changes.append(change)
 
-    def remove_record(self, removal: Change, *, maybe_expired: bool) -> None:
-        """Remove a record, which may never have been seen."""
+    def remove_record(
+        self, removal: Change, *, maybe_expired: bool, may_return: bool
+    ) -> None:
+        """Remove a record, which may never have been seen.
+
+        ``may_return`` states that its writer may live on and write it again.
+        """
         record = self.records.pop(removal.key, None)
         self.deletion_revisions[removal.key] = removal.revision
-        self.restoration.record_removal(removal, record)
+        self.order.record_removal(
+            removal, record, boottime(), may_have_expired=may_return
+        )
         if record is None:
             for handler in self.on_unseen_record_deleted:
                 handler(removal.key)
@@ -409,7 +437,7 @@
             records = self.records.values()
             changes = (
                 *(Change(one.key, one.value, one.revision) for one in records),
-                *self.restoration.held.values(),
+                *self.order.held_changes(),
             )
             return FeedUpdate(
                 True,
@@ -421,8 +449,9 @@
                 self.proof_age_s(now),
                 is_store_failing=self.is_store_failing,
             )
-        newer_changes = newest_by_key(
-            change for change in self.recent_changes if change.revision > revision
+        newer_changes = effective_changes(
+            (change for change in self.recent_changes if change.revision > revision),
+            self.order.rules,
         )
         return FeedUpdate(
             False,
@@ -454,18 +483,26 @@
             self.apply_changes(update.changes, update.revision)
 
 
-def newest_by_key(changes: Iterable[Change]) -> tuple[Change, ...]:
-    """Return the newest change of each key, in the order of their revisions.
+def effective_changes(
+    changes: Iterable[Change], rules: RecordRules
+) -> tuple[Change, ...]:
+    """Return the changes that may decide what is in use, ordered by revision.
 
     A value that is already replaced need not be sent or decoded: configurations may
-    follow each other faster than a small VM decodes them.
+    follow each other faster than a small VM decodes them. Where a write may be late,
+    the last change of a key need not be the one that counts, and all of them remain.
     """
     newest: dict[str, Change] = {}
+    ordered: list[Change] = []
     for change in changes:
+        if rules.find(change.key).late_write_s:
+            ordered.append(change)
+            continue
         known = newest.get(change.key)
         if known is None or known.revision < change.revision:
             newest[change.key] = change
-    return tuple(sorted(newest.values(), key=lambda change: change.revision))
+    effective = (*newest.values(), *ordered)
+    return tuple(sorted(effective, key=lambda change: change.revision))
 
 
 class StoreFeed(BackgroundTask):
@@ -551,7 +588,7 @@
             era=self.replica.era,
             revision=counter_of(self.replica.revision),
             records=len(self.replica.records),
-            held=len(self.replica.restoration.held),
+            held=len(self.replica.order.held),
             is_stale=changes is not None,
         )
 
--- a/src/masticdeck/coordination/fleet_view.py
+++ b/src/masticdeck/coordination/fleet_view.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 
 from masticdeck.clock import boottime
-from masticdeck.coordination.restoration.rules import RULES, WriterOrder
+from masticdeck.coordination.record_order.rules import RULES, WriterOrder
 from masticdeck.coordination.zone_returns import RETURN_PREFIX, decode_return
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import EntryId, InstanceId, ZoneId
--- a/src/masticdeck/coordination/quotas/allocation.py
+++ b/src/masticdeck/coordination/quotas/allocation.py
@@ -14,7 +14,7 @@
 from typing import final
 
 from masticdeck.coordination.quotas.terms import MAX_BUDGET
-from masticdeck.coordination.restoration.rules import RULES, WriterOrder
+from masticdeck.coordination.record_order.rules import RULES, WriterOrder
 from masticdeck.ids import EntryId, WorkspaceId
 from masticdeck.protocol.records import INVALID_RECORD_ERRORS, RecordInvalid
 
--- a/src/masticdeck/coordination/restoration/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""What holds after the platform's store has come back from an older copy."""
--- a/src/masticdeck/coordination/zone_returns.py
+++ b/src/masticdeck/coordination/zone_returns.py
@@ -14,7 +14,7 @@
 from collections.abc import Callable
 
 from masticdeck.clock import walltime
-from masticdeck.coordination.restoration.rules import RULES, WriterOrder
+from masticdeck.coordination.record_order.rules import RULES, WriterOrder
 from masticdeck.errors import MasticdeckError
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import ZoneId
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -37,6 +37,7 @@
     PROOF_FRACTION_OF_REVOCATION,
     QuotaTerms,
 )
+from masticdeck.coordination.record_order.order import Verdict
 from masticdeck.coordination.retries import SharedRetryBudget
 from masticdeck.coordination.round_trips import RoundTripMeter
 from masticdeck.coordination.run_times import RunTimes
@@ -57,7 +58,7 @@
 from masticdeck.protocol.dialect import Dialect
 from masticdeck.protocol.positions import counter_of
 from masticdeck.protocol.records import RecordDecoder
-from masticdeck.protocol.store import Store
+from masticdeck.protocol.store import Change, Store
 from masticdeck.state.fleet import Fleet, FleetEntry
 from masticdeck.state.routes import CallerLimits
 from masticdeck.transport.caller_memory import CallerMemory, MemoryDecision
@@ -192,6 +193,7 @@
         self.era_begun_at: float | None = None
         self.replica.on_era_begun.append(self.begin_era)
         self.replica.on_record_lapsed.append(self.log_lapsed_record)
+        self.replica.on_record_held.append(self.log_held_record)
         self.entry_order = EntryOrder(
             settings.entry, members=self.directory.selected_entry_ids
         )
@@ -379,8 +381,24 @@
             records=len(self.replica.records),
         )
 
+    def log_held_record(self, change: Change, verdict: Verdict) -> None:
+        """Log and count a written value that is older than what is known of its key."""
+        self.metrics.count("store_records_held")
+        order = self.replica.order
+        removed = order.removed.get(change.key)
+        self.events.emit(
+            Code.RECORD_HELD,
+            level=logging.WARNING,
+            key=change.key,
+            reason=verdict.value,
+            order=order.rules.find(change.key).read_order(change.value or b""),
+            known_order=order.orders.get(change.key) or (removed and removed.order),
+            removed=change.key not in self.replica.records,
+            revision=counter_of(change.revision),
+        )
+
     def log_lapsed_record(self, key: str, reason: str) -> None:
-        """Log what became of a record that was not written again in a new era."""
+        """Log what became of a record that was not written again in time."""
         self.metrics.count("store_records_lapsed")
         self.events.emit(Code.RECORD_LAPSED, key=key, reason=reason)
 
--- a/src/masticdeck/gateway/inspection.py
+++ b/src/masticdeck/gateway/inspection.py
@@ -61,7 +61,7 @@
             "era_age_s": None
             if gateway.era_begun_at is None
             else round(now - gateway.era_begun_at, 3),
-            "held_records": len(gateway.replica.restoration.held),
+            "held_records": len(gateway.replica.order.held),
             "revision": counter_of(gateway.replica.revision),
             "age_s": round(min(gateway.replica.age_s(now), 1e6), 3),
             "routes": [] if routes is None else self.describe_routes(),
--- a/src/masticdeck/platform/records.py
+++ b/src/masticdeck/platform/records.py
@@ -13,7 +13,11 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
-from masticdeck.coordination.restoration.rules import RULES, WriterOrder
+from masticdeck.coordination.record_order.rules import (
+    LATE_WRITE_S,
+    RULES,
+    WriterOrder,
+)
 from masticdeck.ids import (
     InstanceId,
     RegionId,
@@ -125,7 +129,7 @@
         return None
 
 
-@RULES.register(INSTANCE_PREFIX)
+@RULES.register(INSTANCE_PREFIX, late_write_s=LATE_WRITE_S)
 def read_instance_order(value: bytes) -> WriterOrder | None:
     """Return the start of an instance and the count of its writes since then."""
     try:
--- a/testing/coordination/test_restoration.py
+++ b/testing/coordination/test_restoration.py
@@ -15,11 +15,11 @@
     encode_record,
     encode_update,
 )
-from masticdeck.coordination.restoration.restoration import Restoration
-from masticdeck.coordination.restoration.rules import (
+from masticdeck.coordination.record_order.order import RecordOrder
+from masticdeck.coordination.record_order.rules import (
     EXPIRY_S,
     RESTORE_S,
-    RestorationRules,
+    RecordRules,
 )
 from masticdeck.ids import Era, Revision
 from masticdeck.protocol.positions import era_of, pack_position
@@ -32,9 +32,9 @@
     return pack_position(Era(era), counter)
 
 
-def rules() -> RestorationRules:
+def rules() -> RecordRules:
     """Return rules of a count that expires and of a version that only rises."""
-    registered = RestorationRules()
+    registered = RecordRules()
 
     def read(value: bytes) -> tuple[int, ...] | None:
         return (json.loads(value),)
@@ -65,7 +65,7 @@
     def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
         self.now = 1000.0
         self.listener = Listener()
-        self.replica = RecordReplica(self.listener, Restoration(rules()))
+        self.replica = RecordReplica(self.listener, RecordOrder(rules()))
         monkeypatch.setattr(feed, "boottime", lambda: self.now)
 
     def list(self, era: int, counter: int, **items: tuple[int, bytes]) -> None:
--- a/testing/gateway/test_fleet_changes.py
+++ b/testing/gateway/test_fleet_changes.py
@@ -5,6 +5,8 @@
 import asyncio
 import json
 
+import pytest
+
 from masticdeck.events import Code
 from testing.gateway.test_forward import hang, received_requests, set_all_actions
 from testing.gateway.world import configuration, route
@@ -46,6 +48,26 @@
     assert await receiving_instances(world) == {"s2"}
 
 
+@pytest.mark.parametrize("is_removed", [False, True], ids=["draining", "removed"])
+async def test_late_report_of_an_instance_does_not_undo_its_leaving(world, is_removed):
+    """Guards against requests that reach an instance after its drain has ended."""
+    s1 = world.instances["s1"]
+    if is_removed:
+        world.store.remove("servers/s1")
+    else:
+        drain = s1.record(state="draining", sequence=3)
+        world.store.write("servers/s1", drain)
+    await world.settle()
+    world.store.write("servers/s1", s1.record(sequence=2))
+    await world.settle()
+    assert await receiving_instances(world) == {"s2"}
+    [held] = [one for one in world.events.ring if one.code is Code.RECORD_HELD]
+    assert held.fields["reason"] == "hold late"
+    world.store.write("servers/s1", s1.record(born=s1.born + 1))
+    await world.settle()
+    assert await receiving_instances(world) == {"s1", "s2"}
+
+
 async def test_removed_instance_receives_no_new_requests(world):
     world.store.remove("servers/s1")
     await world.settle()
--- a/testing/platform/standin_instance.py
+++ b/testing/platform/standin_instance.py
@@ -73,7 +73,14 @@
         host, _, port = self.address.rpartition(":")
         self.server = await asyncio.start_server(self.serve, host, int(port))
 
-    def record(self, *, state: str = "ready", cold_ms: int = 0, born: int = 0) -> bytes:
+    def record(
+        self,
+        *,
+        state: str = "ready",
+        cold_ms: int = 0,
+        born: int = 0,
+        sequence: int = 1,
+    ) -> bytes:
         """Return the record that the instance writes of itself, or of another start."""
         fixed = {
             "service": self.service,
@@ -81,7 +88,11 @@
             "zone": self.zone,
             "slots": self.slots,
         }
-        status = {"state": state, "sequence": 1, "cold_remaining": f"{cold_ms}ms"}
+        status = {
+            "state": state,
+            "sequence": sequence,
+            "cold_remaining": f"{cold_ms}ms",
+        }
         fields = {"address": self.address, "information": fixed, "status": status}
         return json.dumps({**fields, "born": born or self.born}).encode()
 
