Deliver answers that are written before their connections close

Cause: an answer counted as delivered once it was in the kernel's send buffer. The stop, the idle limit and the end of the process closed the socket; what arrives on a closed socket is answered with a reset, which drops what the kernel still has. Only a last answer that began after the SIGTERM went another way.

Evidence: the entry's in_flight was 0 while the kernel held 1.4 MB; with the reset on the next request, not on the SIGTERM, a deadline or the end of the grace period are out.

The kernel tells what has not been acknowledged (SIOCOUTQ); such an answer is under way, so the stop waits for it and the next request is served with `Connection: close`. The library's server of masticdeck-entry gets a transport that closes by the same table.

Why it works: a connection is closed only once nothing is undelivered, or after its sending side has ended and what arrives is read; waits are bounded by the idle time, by 3 s without progress, and by the grace period.

Before, on: testing/transport/test_connection_end.py:: test_answer_in_the_kernel_reaches_a_slow_caller_that_sends_on[stop], [end_of_idle_time]: assert (1500000, 131028) == (1500000, 1500000); test_last_answer_of_the_other_program_is_not_reset_by_further_requests: [(1500000, 130896)] == [(1500000, 1500000)].

test_answer_that_is_unread_for_the_idle_time_is_reset set a field that is gone; it leaves 10 MB unread now, and has the same bounds.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -27,6 +27,10 @@
 COLD_PROMISE = "no cold instance is flooded while the store is away"
 RESTORED_PROMISE = "a store that comes back from a copy undoes nothing that is known"
 
+SLOW_CALLER = (
+    "testing/transport/test_connection_end.py"
+    "::test_answer_in_the_kernel_reaches_a_slow_caller_that_sends_on"
+)
 ORDER_PROMISE = "an older report of an instance undoes no newer one"
 RECORD_ORDER = "testing/coordination/test_record_order.py"
 LATE_REPORT = "test_older_report_that_arrives_late_undoes_no_newer_one"
@@ -209,12 +213,46 @@
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="a connection is read until its caller has the last answer",
-        file=f"{SOURCE}/transport/http1_server.py",
-        old="            await asyncio.sleep(LINGER_S)\n        self.transport.close()",
-        new="            pass\n        self.transport.close()",
+        file=f"{SOURCE}/transport/connection_end/ending.py",
+        old="        if not delivery.held_bytes and waited_s > LINGER_S:",
+        new="        if not delivery.held_bytes:",
         test="testing/transport/test_http1_server.py"
         "::TestOrder::test_answer_is_not_reset_by_requests_that_follow_it",
     ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="an answer in the kernel counts as under way",
+        file=f"{SOURCE}/transport/http1_server.py",
+        old="        return count or int(self.ending.undelivered_bytes() > 0)",
+        new="        return count",
+        test=SLOW_CALLER,
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="what precedes a broken answer is delivered before the reset",
+        file=f"{SOURCE}/transport/connection_end/states.py",
+        old="    (S.OPEN, E.ANSWER_BROKEN): (S.CUTTING, Action.NONE),",
+        new="    (S.OPEN, E.ANSWER_BROKEN): (S.CLOSED, Action.RESET),",
+        test=SLOW_CALLER,
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="the other program's connections end by the same table",
+        file=f"{SOURCE}/transport/connection_end/transport.py",
+        old="        if is_recent or self.ending.undelivered_bytes():",
+        new="        if False:",
+        test="testing/transport/test_connection_end.py"
+        "::test_last_answer_of_the_other_program_is_not_reset_by_further_requests",
+    ),
+    Mutant(
+        promise="a caller gets the whole answer to its own request",
+        mechanism="a caller that sends on is not read without end",
+        file=f"{SOURCE}/transport/connection_end/states.py",
+        old="    (S.LINGERING, E.LINGER_TIME_OVER): (S.CLOSED, Action.CLOSE),",
+        new="",
+        test="testing/transport/test_connection_end.py"
+        "::test_caller_that_sends_on_is_not_read_without_end",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="an interim answer waits for the answers before it",
--- a/src/masticdeck/coordination/graceful_shutdown.py
+++ b/src/masticdeck/coordination/graceful_shutdown.py
@@ -34,6 +34,10 @@
 
     leaving: bool
 
+    @property
+    def undelivered(self) -> int:
+        """Return the number of callers that lack a part of a response."""
+
     async def stop_listening(self) -> None:
         """Accept no further connection."""
 
@@ -100,9 +104,11 @@
         self.forwarder.leaving = True
 
     async def wait_for_in_flight(self, deadline: float) -> None:
-        """Wait until no request is in flight or ``deadline`` has passed.
+        """Wait until all responses are delivered or ``deadline`` has passed.
 
         The deadline is in seconds since boot.
         """
-        while self.forwarder.in_flight and boottime() < deadline:
+        while boottime() < deadline and (
+            self.forwarder.in_flight or self.server.undelivered
+        ):
             await asyncio.sleep(IN_FLIGHT_POLL_INTERVAL_S)
--- a/src/masticdeck/entry/connections.py
+++ b/src/masticdeck/entry/connections.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from http import HTTPStatus
-from typing import Any
+from typing import Any, cast
 
 from aiohttp import EMPTY_PAYLOAD, StreamReader, web
 from aiohttp.http_exceptions import LineTooLong
@@ -18,6 +18,8 @@
     RequestInvalid,
 )
 from masticdeck.protocol import headers
+from masticdeck.transport.connection_end.ending import ConnectionEnding
+from masticdeck.transport.connection_end.transport import EndingTransport
 from masticdeck.transport.departures import DepartureWatch
 
 MAX_FIELDS = 128
@@ -44,6 +46,7 @@
         self.waiting_since: float | None = None
         self.max_head_bytes = MAX_HEAD_RATIO * server.max_header_bytes
         self.departures = server.departures
+        self.ending = ConnectionEnding(lambda: server.stall_s)
         # The library forgets its transport before the connection is lost.
         self.watched: asyncio.Transport | None = None
         self.unparsed = b""
@@ -51,11 +54,18 @@
         self.begun_count = 0
         self.payload: StreamReader = EMPTY_PAYLOAD
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Take over a socket, which ends by the table of states."""
+        real = cast(asyncio.Transport, transport)
+        super().connection_made(cast(Any, EndingTransport(real, self.ending)))
+
     def data_received(self, data: bytes) -> None:
         """Take bytes from the caller and note when a head begins.
 
         aiohttp calls it without bytes to go on with those that it has kept itself.
         """
+        if not self.ending.life.may_write:
+            return
         if not data:
             super().data_received(data)
             return
@@ -136,6 +146,7 @@
     def connection_lost(self, exc: BaseException | None) -> None:
         """Cancel what is done for the caller."""
         self.unwatch()
+        self.ending.end()
         super().connection_lost(exc)
 
     def expire(self) -> None:
@@ -193,6 +204,7 @@
         super().__init__(handler, handler_cancellation=True)
         self.departures = DepartureWatch()
         self.header_timeout_s = config.header_timeout_s
+        self.stall_s = config.keep_alive_s
         self.max_header_bytes = config.max_header_bytes
         self.options: dict[str, Any] = {
             "access_log": None,
@@ -210,6 +222,14 @@
         loop = asyncio.get_running_loop()
         return CallerConnection(self, loop=loop, **self.options)
 
+    def count_undelivered(self) -> int:
+        """Return the number of connections whose callers lack a part of an answer."""
+        return sum(
+            connection.ending.undelivered_bytes() > 0
+            for connection in self.connections
+            if isinstance(connection, CallerConnection)
+        )
+
     async def sweep(self) -> None:
         """End connections whose head is late, for ever."""
         loop = asyncio.get_running_loop()
--- a/src/masticdeck/entry/delivery.py
+++ b/src/masticdeck/entry/delivery.py
@@ -20,6 +20,7 @@
 from masticdeck.protocol import headers
 from masticdeck.protocol.backend import BackendBroken
 from masticdeck.protocol.call import Call
+from masticdeck.transport.connection_end.transport import EndingTransport
 
 SMALL_ANSWER_BYTES = 65_536
 BODILESS = frozenset({204, 304})
@@ -133,9 +134,15 @@
             raise BackendBroken(type(error).__name__) from error
 
     def cut(self) -> None:
-        """Break the caller's connection, so that the answer ends in an error."""
-        if self.request.transport is not None:
-            self.request.transport.abort()
+        """Break the caller's connection, so that the answer ends in an error.
+
+        The answers before it are delivered first.
+        """
+        transport = self.request.transport
+        if isinstance(transport, EndingTransport):
+            transport.cut()
+        elif transport is not None:
+            transport.abort()
 
 
 async def read_small(answer: ClientResponse) -> bytes:
--- a/src/masticdeck/entry/server.py
+++ b/src/masticdeck/entry/server.py
@@ -40,11 +40,13 @@
         self.runner: web.ServerRunner | None = None
         self.sweeper: asyncio.Task[None] | None = None
         self.departures: DepartureWatch | None = None
+        self.callers: CallerServer | None = None
 
     async def start(self) -> None:
         """Start to listen."""
         server = CallerServer(self.serve, self.node.config)
         self.departures = server.departures
+        self.callers = server
         self.departures.start()
         self.runner = web.ServerRunner(server, shutdown_timeout=1.0)
         await self.runner.setup()
@@ -52,6 +54,11 @@
         await web.TCPSite(self.runner, entry.host, entry.http_port).start()
         self.sweeper = asyncio.create_task(server.sweep())
 
+    @property
+    def undelivered(self) -> int:
+        """Return the number of callers that lack a part of an answer."""
+        return 0 if self.callers is None else self.callers.count_undelivered()
+
     async def stop_listening(self) -> None:
         """Accept no further connection; those that are open go on."""
         if self.runner is not None:
--- /dev/null
+++ b/src/masticdeck/transport/connection_end/__init__.py
@@ -0,0 +1,1 @@
+"""How callers' connections end, so that whole answers reach their callers."""
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -24,6 +24,11 @@
     CallerMemory,
     Holding,
 )
+from masticdeck.transport.connection_end.ending import ConnectionEnding
+from masticdeck.transport.connection_end.states import (
+    ConnectionEvent,
+    ConnectionState,
+)
 from masticdeck.transport.departures import DepartureWatch
 from masticdeck.transport.http1 import (
     BODYLESS,
@@ -35,13 +40,6 @@
 MAX_READ_AHEAD = 32
 """Requests read ahead on one connection before it stops reading."""
 
-LINGER_S = 3.0
-"""How long a caller may take to close after the last answer on a connection.
-
-Bytes that arrive meanwhile are read and dropped: closing a socket with unread bytes
-would reset it, and a slow caller would lose the rest of the answer.
-"""
-
 READ_BUFFER = memoryview(bytearray(65_536))
 """What is read at once; the loop's own buffer would read four times as much."""
 
@@ -130,15 +128,12 @@
         self.answering = False
         self.begun = False
         self.chunked = False
-        self.last_answer = False
-        self.discarding = False
-        self.lingering = False
+        self.ending = ConnectionEnding(lambda: self.limits.idle_timeout_s)
         self.expects_continue = False
         self.closed = False
         self.active_at = boottime()
         self.writable = asyncio.Event()
         self.writable.set()
-        self.unsent_since = boottime()
 
     # asyncio.BufferedProtocol
 
@@ -146,6 +141,7 @@
         """Take over an accepted socket."""
         # uvloop's transports are not subclasses of asyncio's.
         self.transport = cast(asyncio.Transport, transport)
+        self.ending.transport = self.transport
         self.server.connections.add(self)
         sock = transport.get_extra_info("socket")
         if sock is not None:
@@ -287,6 +283,7 @@
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel what is done for the caller."""
         self.closed = True
+        self.ending.end()
         if self.transport is not None:
             self.server.departures.unwatch(self.transport)
         self.holding.end()
@@ -300,7 +297,6 @@
     def pause_writing(self) -> None:
         """Note that the send buffer is full."""
         self.writable.clear()
-        self.unsent_since = boottime()
         self.charge_unsent()
 
     def resume_writing(self) -> None:
@@ -313,15 +309,14 @@
         if self.transport is None or self.closed:
             return
         size = self.transport.get_write_buffer_size()
-        if size != self.holding.unsent_bytes:
-            self.unsent_since = boottime()
-            if not self.holding.set_unsent(size):
-                self.abort()
+        if size == self.holding.unsent_bytes or self.holding.set_unsent(size):
+            return
+        self.ending.take(ConnectionEvent.MEMORY_SHORT)
 
     def close_for_memory(self) -> None:
         """Make room for other connections: refuse what is read, or else close."""
         if self.answering or self.waiting or not self.writable.is_set():
-            self.abort()
+            self.ending.take(ConnectionEvent.MEMORY_SHORT)
             if self.worker is not None:
                 self.worker.cancel()
         else:
@@ -418,6 +413,16 @@
 
     # Requests in turn
 
+    @property
+    def discarding(self) -> bool:
+        """Return whether what arrives is read and dropped."""
+        return not self.ending.life.reads_requests
+
+    @property
+    def is_last_answer(self) -> bool:
+        """Return whether the answer under way is the last one."""
+        return self.ending.life.state is ConnectionState.LAST_ANSWER
+
     @property
     def limits(self) -> CallerLimits:
         """Return the limits in force."""
@@ -425,8 +430,11 @@
 
     def queue(self, request: InboundRequest) -> None:
         """Let the worker answer a request after those before it."""
-        if self.last_answer:
-            return
+        if not self.discarding or request.reject_status:
+            self.enqueue(request)
+
+    def enqueue(self, request: InboundRequest) -> None:
+        """Put a request behind those that wait."""
         self.waiting.append(request)
         self.waiting_bytes += request.held_bytes
         if self.worker is None:
@@ -434,6 +442,8 @@
 
     def reject(self, status: int) -> None:
         """Answer with an error in turn, and read no further requests."""
+        if self.discarding:
+            return
         request = self.reading or InboundRequest(self, received_at=boottime())
         self.reading = None
         self.holding.release_body(len(self.body))
@@ -442,28 +452,27 @@
         request.headers, request.head_charge = [], 0
         self.partial_bytes = 0
         self.unparsed = b""
-        self.discarding = True
+        self.ending.take(ConnectionEvent.REQUEST_REJECTED)
         request.reject_status = status
         self.queue(request)
 
     async def work(self) -> None:
         """Answer the queued requests one after the other."""
         try:
-            while self.waiting and not self.closed:
+            while self.waiting and self.ending.life.may_write:
                 request = self.waiting.popleft()
                 self.waiting_bytes -= request.held_bytes
                 self.read_on()
                 await self.answer(request)
-                is_last = self.last_answer or bool(request.reject_status)
                 del request
-                if is_last:
-                    await self.close_after_answer()
+                if not self.ending.life.may_write or self.is_last_answer:
+                    self.finish()
                     return
                 # Answers to pipelined requests would collect for a slow caller.
                 if not self.writable.is_set():
                     await self.writable.wait()
                 self.active_at = boottime()
-            if not self.closed:
+            if self.ending.life.may_write:
                 self.ask_for_body()
         finally:
             self.worker = None
@@ -485,7 +494,8 @@
                     headers.append((b"Retry-After", NO_MEMORY_RETRY_AFTER))
                 self.send_whole(request.reject_status, headers, b"", last=True)
             else:
-                self.last_answer = not request.keep_alive
+                if not request.keep_alive:
+                    self.ending.take(ConnectionEvent.LAST_ANSWER_BEGUN)
                 await self.server.handler(request)
         except ConnectionError:
             self.abort()
@@ -494,21 +504,24 @@
             self.holding.release_head(request.head_charge)
             self.holding.release_body(len(request.body))
 
-    async def close_after_answer(self) -> None:
-        """End the sending side, and close when the caller has or should have."""
-        if self.transport is None or self.closed:
+    def finish(self) -> None:
+        """End the connection after its last answer, or behind one that broke off."""
+        if self.closed:
             return
-        self.discarding = self.lingering = True
+        self.drop_requests()
+        self.ending.take(ConnectionEvent.LAST_ANSWER_WRITTEN)
+
+    def drop_requests(self) -> None:
+        """Forget the requests that are not answered, and go on to read their rest."""
+        self.reading = None
+        self.body = bytearray()
         self.unparsed = b""
+        self.partial_bytes = 0
         self.waiting.clear()
+        self.waiting_bytes = 0
         self.holding.release_head(self.holding.head_bytes)
         self.holding.release_body(self.holding.body_bytes)
         self.resume_reading()
-        await self.writable.wait()
-        if not self.transport.is_closing():
-            self.transport.write_eof()
-            await asyncio.sleep(LINGER_S)
-        self.transport.close()
 
     # Answers, called by the handler
 
@@ -566,22 +579,28 @@
     def ended(self, headers: HeaderList, last: bool) -> HeaderList:
         """Return headers that tell whether the connection ends."""
         if last or self.server.closing:
-            self.last_answer = True
-        if self.last_answer:
+            self.ending.take(ConnectionEvent.LAST_ANSWER_BEGUN)
+        if self.is_last_answer:
             headers.append((b"Connection", b"close"))
         return headers
 
     def write(self, data: bytes) -> None:
         """Write to the caller unless it has left."""
-        if self.closed or self.transport is None:
+        if self.closed or self.transport is None or not self.ending.life.may_write:
             raise ConnectionResetError("the caller has left")
         self.transport.write(data)
+        self.ending.delivery.record_write(boottime())
 
     def abort(self) -> None:
-        """Reset the connection, so that a cut answer does not look complete."""
-        self.last_answer = True
-        if self.transport is not None and not self.closed:
-            self.transport.abort()
+        """Close the connection of a caller that has left."""
+        self.ending.take(ConnectionEvent.CALLER_LEFT)
+
+    def cut(self) -> None:
+        """Break the answer under way off, so that it does not look complete.
+
+        The answers before it are delivered first.
+        """
+        self.ending.take(ConnectionEvent.ANSWER_BROKEN)
 
     # Limits in time
 
@@ -591,9 +610,7 @@
         A caller that has read nothing of its answer for the idle time is idle, too.
         """
         self.charge_unsent()
-        if self.holding.unsent_bytes:
-            if now - self.unsent_since > self.limits.idle_timeout_s:
-                self.abort()
+        if self.is_taking_answer(now):
             return
         if self.answering or self.waiting or self.discarding:
             return
@@ -605,23 +622,51 @@
             elif now - self.active_at > self.limits.idle_timeout_s:
                 self.reject(408)
         elif now - self.active_at > self.limits.idle_timeout_s:
-            self.close_idle()
+            self.ending.take(ConnectionEvent.IDLE)
+
+    def is_taking_answer(self, now: float) -> bool:
+        """Return whether the process holds a part of an answer for the caller.
+
+        The connection is not idle while the caller takes bytes; it is closed if the
+        caller takes none for the idle time.
+        """
+        delivery = self.ending.delivery
+        if not self.ending.undelivered_bytes():
+            return False
+        if delivery.stalled_s(now) <= self.limits.idle_timeout_s:
+            self.active_at = now
+        elif delivery.held_bytes:
+            self.ending.take(ConnectionEvent.STALLED)
+        return delivery.held_bytes > 0
 
     @property
     def in_flight(self) -> int:
         """Return the number of requests that are read, queued or being answered.
 
-        A last answer counts until the caller has it.
+        An answer that is not with its caller counts as well, and a last one until the
+        connection has ended.
         """
-        if self.lingering:
+        if self.ending.life.is_ending:
             return 1
         count = self.answering + len(self.waiting) + (self.reading is not None)
-        return count or int(not self.writable.is_set())
+        return count or int(self.ending.undelivered_bytes() > 0)
 
     def close_idle(self) -> None:
         """Close a connection on which nothing is under way."""
-        if not self.in_flight and self.transport is not None:
-            self.transport.close()
+        if not self.in_flight:
+            self.ending.take(ConnectionEvent.IDLE)
+
+    def end_with_process(self) -> None:
+        """End the connection as well as a process can that ends itself.
+
+        The kernel goes on to deliver what it has.
+        """
+        if self.ending.undelivered_bytes():
+            self.ending.take(ConnectionEvent.PROCESS_ENDS)
+            if self.ending.life.is_ending:
+                self.drop_requests()
+        else:
+            self.ending.take(ConnectionEvent.IDLE)
 
 
 class CallerServer:
@@ -702,8 +747,7 @@
         if self.ticker is not None:
             self.ticker.cancel()
         for connection in list(self.connections):
-            if connection.transport is not None:
-                connection.transport.close()
+            connection.end_with_process()
         self.departures.stop()
 
     def begin_close(self) -> None:
--- a/testing/transport/test_caller_memory.py
+++ b/testing/transport/test_caller_memory.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from masticdeck.clock import boottime
 from masticdeck.state.routes import CallerLimits
 from masticdeck.transport.caller_memory import (
     Action,
@@ -320,9 +321,12 @@
 async def test_answer_that_is_unread_for_the_idle_time_is_reset(
     caller, server, handler, connection
 ):
-    connection.holding.set_unsent(100)
-    connection.charge_unsent = lambda: None
-    idle_until = connection.unsent_since + server.limits().idle_timeout_s
+    connection.write(b"x" * 10_000_000)
+    await asyncio.sleep(0.2)
+    connection.check_time(boottime())
+    assert connection.holding.unsent_bytes
+    progressed_at = connection.ending.delivery.progressed_at
+    idle_until = progressed_at + server.limits().idle_timeout_s
     connection.check_time(idle_until - 1)
     assert not connection.transport.is_closing()
     connection.check_time(idle_until + 1)
--- a/testing/transport/test_http1_server.py
+++ b/testing/transport/test_http1_server.py
@@ -13,7 +13,8 @@
 
 from masticdeck.clock import boottime
 from masticdeck.state.routes import CallerLimits
-from masticdeck.transport import http1_server
+from masticdeck.transport.connection_end import ending
+from masticdeck.transport.connection_end.states import ConnectionEvent
 from masticdeck.transport.http1_server import (
     MAX_READ_AHEAD,
     MAX_TICK_DELAY_S,
@@ -329,7 +330,7 @@
         assert (await receive(caller)).endswith(b"half")
         server.begin_close()
         [connection] = server.connections
-        connection.last_answer = True
+        connection.ending.take(ConnectionEvent.LAST_ANSWER_BEGUN)
         for _ in range(20):
             caller.send(REQUEST)
             await asyncio.sleep(0.005)
@@ -350,7 +351,7 @@
     async def test_caller_that_does_not_close_is_closed_after_a_while(
         self, caller, server, handler, monkeypatch
     ):
-        monkeypatch.setattr(http1_server, "LINGER_S", 0.2)
+        monkeypatch.setattr(ending, "LINGER_S", 0.2)
         caller.send(REQUEST.replace(b"\r\n\r\n", b"\r\nConnection: close\r\n\r\n"))
         assert (await receive(caller)).startswith(b"HTTP/1.1 200")
         assert await receive(caller) == b""
