Deliver the answers before one that breaks off

Cause: a cut answer aborted the connection, which drops all that the process holds of earlier answers and closes the socket; the next request then reset what the kernel had.

Change: such an answer is an event of the connection's table of states (`cutting`): nothing more is written, what was written is delivered, and then the connection is reset, so that the cut answer still does not look complete.

Before: testing/gateway/test_stray_responses.py:: test_response_that_breaks_off_takes_no_whole_one_along: assert 0 == 1 whole answers.

--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -200,7 +200,7 @@
         if not has_started:
             return status
         self.exchange.record_outcome("cut")
-        self.request.connection.abort()
+        self.request.connection.cut()
         return AttemptStatus.CUT
 
     async def send_and_receive(self, timeout: asyncio.Timeout) -> AttemptStatus:
--- a/src/masticdeck/gateway/forwarder.py
+++ b/src/masticdeck/gateway/forwarder.py
@@ -324,7 +324,7 @@
     def handle_internal_error(self, request: InboundRequest) -> None:
         """End a request after an internal error: with 502, or a reset once begun."""
         if request.connection.begun:
-            request.connection.abort()
+            request.connection.cut()
         else:
             self.send_empty_response(request, 502)
 
--- a/testing/gateway/test_stray_responses.py
+++ b/testing/gateway/test_stray_responses.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import time
 
 import pytest
@@ -31,6 +32,7 @@
     pytest.param(MISDIRECTION_WITHOUT_ID, id="421 without id"),
 ]
 RUN_S = 0.1
+WHOLE_BYTES = 540_000
 
 
 def send_stray_first(stray: bytes, *, gap_s: float = 0.0, split: int = 0):
@@ -188,6 +190,42 @@
     await wait_until_cancelled(world)
 
 
+async def test_response_that_breaks_off_takes_no_whole_one_along(world):
+    """Guards against a reset of the response that an instance had given before."""
+
+    async def act(instance, request, writer):
+        if request.target == "/s/whole":
+            writer.write(instance.head(request, 200, WHOLE_BYTES) + b"w" * WHOLE_BYTES)
+            return
+        writer.write(instance.head(request, 200, WHOLE_BYTES) + b"p" * 300_000)
+        await writer.drain()
+        writer.transport.abort()
+
+    set_all_actions(world, act)
+    with socket.socket() as caller:
+        caller.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        caller.setblocking(False)
+        loop = asyncio.get_running_loop()
+        port = world.gateway.caller_server.port
+        await loop.sock_connect(caller, ("127.0.0.1", port))
+        for target in ("/s/whole", "/s/broken", "/s/whole"):
+            await loop.sock_sendall(caller, world.request_bytes(target))
+            await asyncio.sleep(0.1)
+        received = b""
+        was_reset = False
+        while not was_reset:
+            try:
+                part = await loop.sock_recv(caller, 20_000)
+            except ConnectionResetError:
+                was_reset = True
+            else:
+                assert part, "the connection ended in an orderly way"
+                received += part
+            await asyncio.sleep(0.005)
+    assert received.count(b"w" * WHOLE_BYTES) == 1
+    assert received.endswith(b"p")
+
+
 async def wait_until_cancelled(world) -> None:
     """Wait until the entry has closed the connection of the endless response."""
     async with asyncio.timeout(3):
