Play late reports and slow readers in the soak

Each run begins with planned work in calm, since the faults that follow excuse what is lost: an entry stops while answers of 400 kB are read slowly and requests are sent behind them, and an instance leaves whose older report arrives 2.5 to 5 s later. Both go on beside the random faults, with random numbers of their own.

The check of DRAIN left out entries that were disturbed; it now leaves out those that started less than 4 s before, too. The ledger's tests have both sides of the bound.

entry_leaving and entry_finished tell how many callers lack a part of an answer.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -19,10 +19,18 @@
 import cappa
 import uvloop
 
-from soak.faults import faults, pause_past_revocation, restore_store
+from soak.faults import (
+    deliver_late_reports,
+    faults,
+    pause_past_revocation,
+    planned_work,
+    restore_store,
+)
+from soak.slow_readers import SlowReader
 from soak.world import ROOT, World, temporary_folder
 
 CALLERS_PER_ENTRY = 4
+SLOW_READERS = 3
 RECOVERY_S = 5.0
 LEAST_SERVED = 0.9
 
@@ -55,12 +63,19 @@
     try:
         await world.start()
         world.load(CALLERS_PER_ENTRY * command.entries)
+        world.callers += [
+            asyncio.create_task(SlowReader(world, f"slow {seed} {number}").run())
+            for number in range(SLOW_READERS)
+        ]
+        await planned_work(world)
+        changes.append(asyncio.create_task(deliver_late_reports(world)))
         if world.keys is not None:
             changing = asyncio.create_task(world.keys.keep_changing(world))
             changes.append(changing)
             running.append(asyncio.create_task(pause_past_revocation(world)))
         if command.restorations:
-            changes.append(asyncio.create_task(restore_store(world)))
+            restoring = asyncio.create_task(restore_store(world))
+            changes.append(restoring)
         world.spoils_answers = True
         names = list(faults)
         until = time.monotonic() + command.seconds
@@ -70,7 +85,8 @@
             await asyncio.sleep(world.random.uniform(0.1, 1.5))
         await asyncio.gather(*running)
         if command.restorations:
-            changes.pop().cancel()
+            changes.remove(restoring)
+            restoring.cancel()
             world.store.refuse_with = None
         world.spoils_answers = False
         await asyncio.sleep(RECOVERY_S)
@@ -82,6 +98,8 @@
             task.cancel()
         await world.find_leaks()
         await world.stop()
+    for entry in world.entries:
+        world.ledger.started |= entry.started_at
     breaches = world.ledger.breaches()
     if served < LEAST_SERVED:
         breaches.append(f"RECOVER {served:.2f} served after the faults")
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -9,9 +9,9 @@
 from contextlib import asynccontextmanager
 
 from masticdeck.registry import Registry
-from soak.ledger import REVOCATION_S
+from soak.ledger import DRAIN_TIMEOUT_S, REVOCATION_S
 from soak.proxy import Mode
-from soak.world import COLD_S, GRACE_S, SERVICES, Entry, World
+from soak.world import COLD_S, GRACE_S, HEARTBEAT_S, SERVICES, Entry, World
 from testing.gateway.world import ZONES
 from testing.platform.standin_instance import StandinInstance
 
@@ -38,6 +38,12 @@
 SETTLE_S = 4.0
 """Seconds after a fault until bounds hold again."""
 
+LATE_SEQUENCE = 2
+"""Count of a report that arrives late; the first reports of instances count 1."""
+
+MAX_DELAY_S = 5.0
+"""Longest time after its instance's leaving at which a report arrives."""
+
 NOTICE_S = 0.5
 """Time in which every entry in touch learns of a record."""
 
@@ -139,18 +145,72 @@
                 world.write_again(lost, since=earlier.revision)
 
 
+async def deliver_late_reports(world: World) -> None:
+    """Let one instance after the other leave, and an older report arrive after that.
+
+    It plays beside the registered faults, so that those of a seed are as before.
+    """
+    while True:
+        await asyncio.sleep(world.report_random.uniform(1.0, 4.0))
+        await deliver_late_report(world, min_delay_s=0.5)
+
+
+async def deliver_late_report(world: World, *, min_delay_s: float) -> None:
+    """Let an instance leave, and a report of before reach the store after that.
+
+    It reports that it drains, or its record is removed.
+    """
+    running = running_instances(world)
+    if not running:
+        return
+    leaving = world.report_random.choice(running)
+    held_up = leaving.record(sequence=LATE_SEQUENCE)
+    leaving.leaving = True
+    if world.report_random.random() < 0.5:
+        drain = leaving.record(state="draining", sequence=LATE_SEQUENCE + 1)
+        world.store.write(f"servers/{leaving.id}", drain)
+    else:
+        world.store.remove(f"servers/{leaving.id}")
+    world.ledger.left[leaving.id] = time.monotonic()
+    name = f"{leaving.service}{next(world.numbers)}"
+    await world.add_instance(name, leaving.service, zone=leaving.zone)
+    await asyncio.sleep(world.report_random.uniform(min_delay_s, MAX_DELAY_S))
+    world.store.write(f"servers/{leaving.id}", held_up)
+    await asyncio.sleep(HEARTBEAT_S)
+    world.store.remove(f"servers/{leaving.id}")
+
+
+async def planned_work(world: World) -> None:
+    """Stop an entry while answers are read slowly, and let an instance leave.
+
+    It plays before the other faults, as they would excuse what is lost.
+    """
+    await asyncio.sleep(1.0)
+    entry = world.report_random.choice(world.entries)
+    await asyncio.gather(
+        stop_entry(world, entry),
+        deliver_late_report(world, min_delay_s=DRAIN_TIMEOUT_S),
+    )
+
+
 @faults.register("stop")
 async def stop(world: World) -> None:
     """Stop an entry as planned, with a repeated signal, and start it again."""
     entry = choose(world)
-    if entry is None or entry.process is None:
+    if entry is not None:
+        await stop_entry(world, entry, repeats=world.random.random() < 0.3)
+
+
+async def stop_entry(world: World, entry: Entry, *, repeats: bool = False) -> None:
+    """Stop an entry as planned, and start it again."""
+    if entry.process is None:
         return
     name, began = entry.incarnation, time.monotonic()
     world.ledger.planned_stops[name] = (began, began + GRACE_S)
     if not await world.is_ready(entry):
         world.ledger.early_stops.add(name)
     entry.send(signal.SIGTERM)
-    if world.random.random() < 0.3:
+    if repeats:
         await asyncio.sleep(0.2)
         entry.send(signal.SIGTERM)
     try:
--- a/soak/ledger.py
+++ b/soak/ledger.py
@@ -15,6 +15,10 @@
 REFUSALS = frozenset({408, 421, 429, 503})
 
 DRAIN_TIMEOUT_S = 2.5
+
+STABLE_WINDOW_S = 4.0
+"""Time after its start from which on an entry is in touch."""
+
 REST_DELAY_S = 0.5
 """Time after which an entry has taken in a rest, and in which it may still send."""
 
@@ -114,6 +118,7 @@
     planned_stops: dict[str, tuple[float, float]] = field(default_factory=dict)
     killed: set[str] = field(default_factory=set)
     exits: dict[str, int] = field(default_factory=dict)
+    started: dict[str, float] = field(default_factory=dict)
     early_stops: set[str] = field(default_factory=set)
     endless: set[str] = field(default_factory=set)
     arrivals: list[Ran] = field(default_factory=list)
@@ -180,15 +185,25 @@
         ]
 
     def late_work(self) -> list[str]:
-        """An instance that leaves gets nothing 2.5 s later, in calm times."""
+        """An instance that leaves gets nothing 2.5 s later, in calm times.
+
+        An entry that has just started is not in touch, as one that was disturbed.
+        """
         return [
             f"DRAIN {one.id} reached {one.instance} {one.at - left:.2f} s late"
             for one in self.ran
             if (left := self.left.get(one.instance)) is not None
             and one.at > left + DRAIN_TIMEOUT_S
             and self.calm(left - 4, one.at)
+            and not self.has_just_started(one)
         ]
 
+    def has_just_started(self, one: Ran) -> bool:
+        """Return whether the entry that sent a request had started just before."""
+        asked = self.asked.get(one.id)
+        started_at = self.started.get(asked.entry, -math.inf) if asked else -math.inf
+        return one.at - started_at < STABLE_WINDOW_S
+
     def work_after_notice(self) -> list[str]:
         """An entry that passed on an instance's notice of leaving soon stops using it.
 
--- a/soak/world.py
+++ b/soak/world.py
@@ -51,6 +51,11 @@
 REFUSED_PART = 0.05
 """Part of the requests during the faults that an instance refuses."""
 
+LARGE_PREFIX = "large-"
+"""Begin of the name of a request whose answer is large."""
+
+LARGE_BYTES = 400_000
+
 PART_OF_EACH_FAULT = 0.03
 """Part of the requests during the faults whose answer has a given fault."""
 
@@ -68,6 +73,7 @@
     ) -> None:
         self.name = name
         self.store = store
+        self.started_at: dict[str, float] = {}
         self.fields = settings_fields(store.address, name=name, bounds=bounds)
         self.fields["zone"] = zone
         self.path = folder / f"{name}.yaml"
@@ -88,6 +94,7 @@
             if not self.running():
                 self.starts += 1
                 await self.spawn()
+                self.started_at[self.incarnation] = time.monotonic()
 
     async def spawn(self) -> None:
         """Start a process whose output goes to the entry's log."""
@@ -125,6 +132,7 @@
         self.random = random.Random(seed)
         self.answer_random = random.Random(f"answers {seed}")
         self.restore_random = random.Random(f"restorations {seed}")
+        self.report_random = random.Random(f"late reports {seed}")
         self.spoils_answers = False
         self.folder = folder
         self.entry_count = entries
@@ -304,6 +312,10 @@
         mean_s = WORK_S * (COLD_SLOWDOWN if span else 1.0)
         await asyncio.sleep(self.random.expovariate(1 / mean_s))
         body = f"{request.id} {instance.id}".encode()
+        if request.id.startswith(LARGE_PREFIX):
+            body += b" " * LARGE_BYTES
+            writer.write(instance.head(request, 200, len(body)) + body)
+            return
         answer = DueAnswer(instance, request, writer, self.answer_random, body)
         names = list(answer_faults)
         if drawn < REFUSED_PART + PART_OF_EACH_FAULT * len(names):
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -502,7 +502,11 @@
             end_at=wait_deadline - RESPONSE_MARGIN_S,
         )
         self.dispatcher.reject_late_requests()
-        self.events.emit(Code.ENTRY_LEAVING, in_flight=self.caller_server.in_flight)
+        self.events.emit(
+            Code.ENTRY_LEAVING,
+            in_flight=self.caller_server.in_flight,
+            undelivered=self.caller_server.undelivered,
+        )
         unregister_task = asyncio.create_task(self.entry_registration.unregister())
         self.caller_server.begin_close()
         await asyncio.sleep(max(0.0, ACCEPT_AFTER_STOP_S - (boottime() - started_at)))
@@ -512,4 +516,8 @@
         # No request is read between the last check and the end of the process.
         self.caller_server.close_idle_connections()
         unregister_task.cancel()
-        self.events.emit(Code.ENTRY_FINISHED, in_flight=self.caller_server.in_flight)
+        self.events.emit(
+            Code.ENTRY_FINISHED,
+            in_flight=self.caller_server.in_flight,
+            undelivered=self.caller_server.undelivered,
+        )
--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -711,6 +711,13 @@
         """
         return sum(connection.in_flight for connection in self.connections)
 
+    @property
+    def undelivered(self) -> int:
+        """Return the number of callers that lack a part of an answer."""
+        return sum(
+            connection.ending.undelivered_bytes() > 0 for connection in self.connections
+        )
+
     async def start(self) -> None:
         """Listen on the address."""
         loop = asyncio.get_running_loop()
--- a/testing/soak/test_ledger.py
+++ b/testing/soak/test_ledger.py
@@ -206,6 +206,16 @@
     pytest.param(
         ledger(asked(), ran(), left={"s1": 97.0}), "DRAIN", id="work after leaving"
     ),
+    pytest.param(
+        ledger(asked(), ran(), left={"s1": 97.0}, started={"entry-0#1": 95.0}),
+        "DRAIN",
+        id="work after leaving, 5 s after a start",
+    ),
+    pytest.param(
+        ledger(asked(), ran(), left={"s1": 97.0}, started={"entry-0#1": 97.0}),
+        None,
+        id="work after leaving, 3 s after a start",
+    ),
     pytest.param(
         ledger(asked(), ran(), left={"s1": 98.0}), None, id="work while leaving"
     ),
