Cut an unfinished answer when its process ends

An answer under way at the end of the grace period got an orderly end behind its first part if something was undelivered; it takes the way of a broken one now. A connection with a rejection or a last answer under way is closed with its process, as before. The queue of requests has one way in.

Tests of transport, stop, stray responses, forwarding and caller memory pass.

--- a/src/masticdeck/transport/http1_server.py
+++ b/src/masticdeck/transport/http1_server.py
@@ -409,7 +409,8 @@
         if request is None:
             return
         request.body, self.body = self.body, bytearray()
-        self.queue(request)
+        if not self.discarding:
+            self.queue(request)
 
     # Requests in turn
 
@@ -430,11 +431,6 @@
 
     def queue(self, request: InboundRequest) -> None:
         """Let the worker answer a request after those before it."""
-        if not self.discarding or request.reject_status:
-            self.enqueue(request)
-
-    def enqueue(self, request: InboundRequest) -> None:
-        """Put a request behind those that wait."""
         self.waiting.append(request)
         self.waiting_bytes += request.held_bytes
         if self.worker is None:
@@ -661,12 +657,14 @@
 
         The kernel goes on to deliver what it has.
         """
-        if self.ending.undelivered_bytes():
+        if self.answering and self.begun:
+            self.cut()
+        elif self.in_flight:
             self.ending.take(ConnectionEvent.PROCESS_ENDS)
-            if self.ending.life.is_ending:
-                self.drop_requests()
         else:
             self.ending.take(ConnectionEvent.IDLE)
+        if self.ending.life.is_ending:
+            self.drop_requests()
 
 
 class CallerServer:
