Tell an instance that does not read from a dead link

Cause: TCP_USER_TIMEOUT, set for dead links. The kernel applies it also to bytes that wait for room, although the peer answers the probes of its full window.

The option is gone. TCP_INFO tells the two apart: a dead link has segments in flight that are sent again without an acknowledgement, or three probes in a row unanswered; a full window has nothing in flight. It is asked 0.7 s after the request, then every 0.1 s until all is acknowledged. request_failed states the state of the link.

testing/transport/test_link_check.py:: test_instance_that_pauses_within_a_body_is_not_taken_for_a_dead_link failed before, on: ConnectionResetError: [Errno 104] Connection reset by peer and passes now. Four mutants killed, each run alone; the one of the acknowledgement's age was alive until its row was made to tell.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -31,6 +31,7 @@
     "testing/transport/test_connection_end.py"
     "::test_answer_in_the_kernel_reaches_a_slow_caller_that_sends_on"
 )
+LINKS = "testing/transport/test_link_check.py"
 ORDER_PROMISE = "an older report of an instance undoes no newer one"
 RECORD_ORDER = "testing/coordination/test_record_order.py"
 LATE_REPORT = "test_older_report_that_arrives_late_undoes_no_newer_one"
@@ -253,6 +254,39 @@
         test="testing/transport/test_connection_end.py"
         "::test_caller_that_sends_on_is_not_read_without_end",
     ),
+    Mutant(
+        promise="a request at work is not broken off",
+        mechanism="a full window is not taken for a dead link",
+        file=f"{SOURCE}/transport/link_check.py",
+        old="        if figures.lost_probes > MAX_LOST_PROBES:",
+        new="        if True:",
+        test=f"{LINKS}::test_instance_that_pauses_within_a_body"
+        "_is_not_taken_for_a_dead_link",
+    ),
+    Mutant(
+        promise="a request at work is not broken off",
+        mechanism="the age of an acknowledgement counts from the request",
+        file=f"{SOURCE}/transport/link_check.py",
+        old="    silent_s = min(waited_s, figures.since_ack_s)",
+        new="    silent_s = figures.since_ack_s",
+        test=f"{LINKS}::test_state_of_a_link",
+    ),
+    Mutant(
+        promise="a request whose instance is gone goes to another one",
+        mechanism="a dead link is found behind a full window",
+        file=f"{SOURCE}/transport/link_check.py",
+        old="        if figures.lost_probes > MAX_LOST_PROBES:",
+        new="        if False:",
+        test=f"{LINKS}::test_link_that_dies_behind_a_full_window_breaks_the_exchange",
+    ),
+    Mutant(
+        promise="a request whose instance is gone goes to another one",
+        mechanism="a dead link is found by what it does not acknowledge",
+        file=f"{SOURCE}/transport/link_check.py",
+        old="    if silent_s >= UNACKED_S and figures.retransmissions:",
+        new="    if False:",
+        test=f"{LINKS}::test_dead_link_breaks_the_exchange_within_a_bound",
+    ),
     Mutant(
         promise="a caller gets the whole answer to its own request",
         mechanism="an interim answer waits for the answers before it",
--- a/src/masticdeck/gateway/attempt.py
+++ b/src/masticdeck/gateway/attempt.py
@@ -195,6 +195,7 @@
             request=self.exchange.request_headers.id,
             instance=self.instance.id,
             end=status.value,
+            link=self.connection.link_state.value if self.connection else "none",
             error=str(error) or type(error).__name__,
         )
         if not has_started:
--- a/src/masticdeck/transport/http1_client.py
+++ b/src/masticdeck/transport/http1_client.py
@@ -23,6 +23,13 @@
     is_final_status,
     is_interim_status,
 )
+from masticdeck.transport.link_check import (
+    CHECK_INTERVAL_S,
+    UNACKED_S,
+    LinkState,
+    judge_link,
+    read_figures,
+)
 from masticdeck.transport.sockets import set_reset_on_close
 
 MAX_BUFFERED_BYTES = 65_536
@@ -54,14 +61,6 @@
 MAX_PARTS_PER_TURN = 512
 """Parts of a body after which other connections get their turn of the event loop."""
 
-UNACKED_MS = 700
-"""How long sent bytes may stay unacknowledged before the kernel gives up.
-
-Two retransmissions at the kernel's least timeout of 200 ms fit into it. A busy
-instance acknowledges at once, so only one that is cut off or without power
-loses its connections.
-"""
-
 READ_BUFFER = memoryview(bytearray(65_536))
 """What is read at once; the loop's own buffer would read four times as much."""
 
@@ -101,10 +100,16 @@
         self.uses = 0
         self.unparsed = memoryview(b"")
         self.on_idle_end: Callable[[InstanceConnection], None] | None = None
+        self.link_check: asyncio.TimerHandle | None = None
         self.end_exchange()
 
     def end_exchange(self) -> None:
         """Forget the exchange that has ended."""
+        if self.link_check is not None:
+            self.link_check.cancel()
+        self.link_check = None
+        self.link_state = LinkState.QUIET
+        self.begun_at = 0.0
         self.busy = False
         self.parser: Any = None
         self.accepts: HeadFilter | None = None
@@ -145,6 +150,9 @@
         self.accepts = accepts
         self.parser = httptools.HttpResponseParser(self)
         self.head = self.loop.create_future()
+        self.begun_at = self.loop.time()
+        self.link_state = LinkState.PENDING
+        self.link_check = self.loop.call_later(UNACKED_S, self.check_link)
         # A large body is not copied; a small one goes into the packet of its head.
         if len(body) <= SMALL_BODY_BYTES:
             self.transport.write(head + body)
@@ -152,6 +160,20 @@
             self.transport.write(head)
             self.transport.write(body)
 
+    def check_link(self) -> None:
+        """Break the exchange if the link is dead, and check again unless it is quiet.
+
+        An instance that acknowledges but does not read may be at work on the request.
+        """
+        if self.closed or self.complete or self.transport is None:
+            return
+        figures = read_figures(self.transport)
+        self.link_state = judge_link(figures, self.loop.time() - self.begun_at)
+        if self.link_state is LinkState.DEAD:
+            self.fail(f"the link is dead: {figures}")
+        elif self.link_state is not LinkState.QUIET:
+            self.link_check = self.loop.call_later(CHECK_INTERVAL_S, self.check_link)
+
     async def read_head(self) -> AnswerHead:
         """Wait for the head of the answer."""
         assert self.head is not None
@@ -206,7 +228,6 @@
         sock = transport.get_extra_info("socket")
         if sock is not None:
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKED_MS)
         set_reset_on_close(transport, True)
 
     def get_buffer(self, sizehint: int) -> memoryview:
