Let an entry that starts take over what others knew before a restoration

Cause: all that protects from the copy compares with what the process knew before, and an entry that starts knew nothing. Its first listing counted as proof that its keys were current, in an era that says that the store had lost writes. Evidence: feed_loaded of the added entry states era 2 and no record held, that of the running one holds op/config back.

Before it uses the first listing of an era above 1, an entry now takes over the replica of one that ran before, provably current within 2.6 s; three are asked at the most, 0.9 s each. Without an answer nothing is proved for 2.5 s of a store that is heard, so no keys are used, and entries that start together do not confirm each other's copy. Drains, evacuations and allocations of quotas are taken over the same way.

Before, on (the two lines on the new event left out): test_key_withdrawn_before_the_restoration_is_refused_by_an_entry_added_later: assert [200, 200] == [200, 401] test_entry_added_after_the_restoration_uses_no_key_if_nobody_can_tell: assert 200 == 503 Both pass now, with test_recall.py. Three mutants killed, each run alone.

--- a/scripts/gateway_mutants.py
+++ b/scripts/gateway_mutants.py
@@ -254,6 +254,32 @@
         test="testing/transport/test_connection_end.py"
         "::test_caller_that_sends_on_is_not_read_without_end",
     ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="an entry that starts asks others what they knew",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="        if era_of(listing.revision) <= FIRST_ERA:",
+        new="        if True:",
+        test=f"{RESTORED}::test_key_withdrawn_before_the_restoration"
+        "_is_refused_by_an_entry_added_later",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="without anyone to ask, the copy proves nothing for a while",
+        file=f"{SOURCE}/coordination/feed.py",
+        old="        self.replica.lacks_past = update is None",
+        new="        self.replica.lacks_past = False",
+        test=f"{RESTORED}::test_entry_added_after_the_restoration"
+        "_uses_no_key_if_nobody_can_tell",
+    ),
+    Mutant(
+        promise=RESTORED_PROMISE,
+        mechanism="an entry that knows no more than the store is not believed",
+        file=f"{SOURCE}/coordination/joining/recall.py",
+        old="        return update if is_recent else None",
+        new="        return update",
+        test="testing/coordination/test_recall.py",
+    ),
     Mutant(
         promise="a request at work is not broken off",
         mechanism="a full window is not taken for a dead link",
--- a/src/masticdeck/coordination/feed.py
+++ b/src/masticdeck/coordination/feed.py
@@ -17,7 +17,7 @@
 import math
 import random
 from collections import deque
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable, Mapping
 from dataclasses import dataclass, replace
 from typing import Protocol, final
 
@@ -32,7 +32,7 @@
 from masticdeck.errors import StoreHistoryLost
 from masticdeck.events import Code, EventLog
 from masticdeck.ids import Era, Revision
-from masticdeck.protocol.positions import counter_of, era_of
+from masticdeck.protocol.positions import FIRST_ERA, counter_of, era_of
 from masticdeck.protocol.store import ABSENT, Change, Changes, KeyValue, Listing, Store
 
 WATCH_WAIT_S = 1.2
@@ -110,6 +110,10 @@
     is_store_failing: bool = False
 
 
+Recall = Callable[[Mapping[str, bytes]], Awaitable[FeedUpdate | None]]
+"""Returns the replica of another entry among some records of the store, if any."""
+
+
 class RecordReplica:
     """Replica of the platform's records by key, each at its newest revision.
 
@@ -125,6 +129,10 @@
     ``proved_at`` is the latest boot time at which the replica was provably current. It
     is never later than the truth, whatever was delayed on the way.
 
+    ``lacks_past`` states that the store may have come back from a copy before this
+    replica knew anything, and that nobody could tell what the copy lacks. Nothing is
+    proved then until the writers had their time to write again.
+
     Of changes that follow each other quickly, or come during an outage, only the last
     one is applied, unless their writers state an order. ``on_unseen_record_deleted``
     handlers get the keys of records that existed meanwhile and never reached the
@@ -148,6 +156,7 @@
         self.recent_changes_after = Revision(0)
         self.confirmed_at = float("-inf")
         self.proved_at = float("-inf")
+        self.lacks_past = False
         self.store_failed_at = float("-inf")
         self.is_store_failing = False
         self.outage_ended_at = float("-inf")
@@ -229,6 +238,10 @@
 
         A later proof wakes followers, whose own proofs depend on it.
         """
+        if self.lacks_past:
+            if not self.order.had_time_to_write(proved_at):
+                return
+            self.lacks_past = False
         if proved_at > self.proved_at:
             self.proved_at = proved_at
             self.wake_waiters()
@@ -506,7 +519,11 @@
 
 
 class StoreFeed(BackgroundTask):
-    """Keeps a replica up to date from the store."""
+    """Keeps a replica up to date from the store.
+
+    ``recall`` is asked once, before the first listing of a store that may have come
+    back from a copy is used.
+    """
 
     def __init__(
         self,
@@ -516,8 +533,10 @@
         *,
         should_follow: Callable[[], bool] = lambda: True,
         needs_short_watch: Callable[[], bool] = lambda: False,
+        recall: Recall | None = None,
     ) -> None:
         super().__init__(events)
+        self.recall = recall
         self.needs_short_watch = needs_short_watch
         self.store = store
         self.replica = replica
@@ -577,6 +596,8 @@
         if changes is None:
             sent_at = boottime()
             listing = await self.store.list("")
+        if self.recall is not None and not self.replica.revision:
+            await self.recall_past(self.recall, listing, changes)
         self.replica.confirm(sent_at, boottime())
         if changes is not None:
             self.replica.apply_changes(changes.changes, changes.revision)
@@ -592,6 +613,22 @@
             is_stale=changes is not None,
         )
 
+    async def recall_past(
+        self, recall: Recall, listing: Listing, changes: Changes | None
+    ) -> None:
+        """Take over what other entries knew before the store came back from a copy."""
+        if era_of(listing.revision) <= FIRST_ERA:
+            return
+        records = {item.key: item.value for item in listing.items}
+        for change in () if changes is None else changes.changes:
+            records.pop(change.key, None)
+            if change.value is not None:
+                records[change.key] = change.value
+        update = await recall(records)
+        self.replica.lacks_past = update is None
+        if update is not None:
+            self.replica.apply_update(update, boottime())
+
     async def read_stale(self) -> tuple[Listing, Changes | None]:
         """Return a stale listing and the changes since then, None if they are lost."""
         listing = await self.store.list("", allow_stale=True)
--- a/src/masticdeck/coordination/feed_peers.py
+++ b/src/masticdeck/coordination/feed_peers.py
@@ -333,7 +333,8 @@
 
     def apply_message(self, message: FeedPartMessage, probes: SentProbes) -> FeedUpdate:
         """Apply the update that a message holds, and return it."""
-        update = self.concealed(decode_update(message, self.replica.era))
+        update = decode_update(message, self.replica.era)
+        update = conceal_update(update, self.conceal)
         self.replica.apply_update(update, boottime())
         self.replica.prove(probes.proved_at(update.probe, update.proof_age_s))
         return update
@@ -347,15 +348,18 @@
         now = boottime()
         return now >= due_at and self.replica.proof_age_s(now) > MAX_PROOF_AGE_S
 
-    def concealed(self, update: FeedUpdate) -> FeedUpdate:
-        """Return an update without keys, which entries of an older version send."""
-        changes = tuple(
-            change
-            if change.value is None
-            else replace(change, value=self.conceal(change.key, change.value))
-            for change in update.changes
-        )
-        return replace(update, changes=changes)
+
+def conceal_update(
+    update: FeedUpdate, conceal: Callable[[str, bytes], bytes]
+) -> FeedUpdate:
+    """Return an update without keys, which entries of an older version send."""
+    changes = tuple(
+        change
+        if change.value is None
+        else replace(change, value=conceal(change.key, change.value))
+        for change in update.changes
+    )
+    return replace(update, changes=changes)
 
 
 async def send_probes(
--- a/src/masticdeck/coordination/record_order/order.py
+++ b/src/masticdeck/coordination/record_order/order.py
@@ -280,13 +280,17 @@
             del self.held[change.key]
         return due
 
+    def had_time_to_write(self, now: float) -> bool:
+        """Return whether living writers had the time to write again in this era."""
+        return self.heard_time(now) - self.began_at >= RESTORE_S
+
     def has_lapsed(self, record: KeyValue, revision: Revision, now: float) -> bool:
         """Return whether a missing record's writer had the time to write it, in vain.
 
         A record of which the copy has an older value is not missing.
         """
         return (
-            self.heard_time(now) - self.began_at >= RESTORE_S
+            self.had_time_to_write(now)
             and record.key not in self.held
             and is_unrestored(record, revision)
             and not self.rules.find(record.key).keeps_missing
--- a/src/masticdeck/gateway/app.py
+++ b/src/masticdeck/gateway/app.py
@@ -27,6 +27,7 @@
 from masticdeck.coordination.freshness.configuration import ConfigurationProof
 from masticdeck.coordination.health import Health
 from masticdeck.coordination.instance_load import InstanceLoads
+from masticdeck.coordination.joining.recall import PeerRecall
 from masticdeck.coordination.placement import Placement
 from masticdeck.coordination.quotas.allocation import ALLOCATION_KEY
 from masticdeck.coordination.quotas.allocator import QuotaAllocator, first_allocator
@@ -153,6 +154,9 @@
             needs_short_watch=lambda: (
                 self.cold_bound() is not None or self.may_need_proof()
             ),
+            recall=PeerRecall(
+                self.own_entry, events, conceal=platform.decoder.conceal
+            ).ask,
         )
         self.peer_feed = PeerFeed(
             self.replica,
--- a/src/masticdeck/protocol/positions.py
+++ b/src/masticdeck/protocol/positions.py
@@ -27,6 +27,9 @@
 NO_ERA = Era(0)
 """Era of a store, or of a message of an older version, that states none."""
 
+FIRST_ERA = Era(1)
+"""Era of a store that has never come back from a copy."""
+
 
 def pack_position(era: Era, counter: int) -> Revision:
     """Return the position of a counter's value in an era, or raise ValueError.
--- a/testing/gateway/test_store_restored.py
+++ b/testing/gateway/test_store_restored.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import json
+import time
 from collections.abc import AsyncIterator
 from contextlib import AsyncExitStack
+from dataclasses import replace
 
 import pytest
 
+from masticdeck.clock import HybridClock
 from masticdeck.coordination.entry_registration import RENEW_INTERVAL_S
-from masticdeck.events import Code
+from masticdeck.coordination.record_order.rules import RESTORE_S
+from masticdeck.events import Code, EventLog
 from masticdeck.protocol.positions import lease_era
 from testing.gateway.test_fleet_changes import receiving_instances
 from testing.gateway.world import World, route
@@ -180,6 +185,70 @@
     assert view["revision"] == drilled.store.revision
 
 
+async def start_second_entry(world: World) -> World:
+    """Start an entry that was not there before, on the same store."""
+    second = replace(
+        world,
+        entry_name="entry-2",
+        ids=itertools.count(1_000),
+        events=EventLog("entry-2", HybridClock()),
+    )
+    await second.start_entry()
+    await second.settle()
+    return second
+
+
+def recalls(world: World) -> list[str]:
+    """Return the source of each recall of an entry, empty for none."""
+    return [
+        event.fields["source"]
+        for event in world.events.ring
+        if event.code is Code.FEED_RECALLED
+    ]
+
+
+async def test_key_withdrawn_before_the_restoration_is_refused_by_an_entry_added_later(
+    drilled,
+):
+    """Guards against an entry that starts with the older copy as its only source."""
+    earlier = drilled.store.copy()
+    configure(drilled, KEPT)
+    await lose_writes(drilled)
+    await restore(drilled, earlier)
+    added = await start_second_entry(drilled)
+    assert [await status(added, key) for key in (KEPT, WITHDRAWN)] == [200, 401]
+    assert recalls(added) == ["entry-1"]
+
+
+async def test_entry_added_after_the_restoration_uses_no_key_if_nobody_can_tell(
+    drilled,
+):
+    """Guards against trusting a copy that nobody compares with what was before."""
+    earlier = drilled.store.copy()
+    configure(drilled, KEPT)
+    await lose_writes(drilled)
+    await drilled.application.stop()
+    restored_at = time.monotonic()
+    drilled.store.restore(earlier)
+    added = await start_second_entry(drilled)
+    while time.monotonic() - restored_at < RESTORE_S - 0.5:
+        assert await status(added, WITHDRAWN) == 503
+        await asyncio.sleep(0.1)
+    configure(drilled, KEPT)
+    async with asyncio.timeout(RESTORE_S + 2.0):
+        while (served := await status(added, KEPT)) != 200:
+            assert served == 503
+            await asyncio.sleep(0.1)
+    assert await status(added, WITHDRAWN) == 401
+    assert recalls(added) == [""]
+
+
+async def test_entry_that_starts_on_a_store_that_never_came_back_asks_nobody(drilled):
+    added = await start_second_entry(drilled)
+    assert [await status(added, key) for key in (KEPT, WITHDRAWN)] == [200, 200]
+    assert recalls(added) == []
+
+
 async def received_with_key(world: World) -> set[str]:
     """Return the ids of the instances that receive requests with a key."""
     return await receiving_instances(world, extra=key_line(KEPT))
--- a/testing/gateway/world.py
+++ b/testing/gateway/world.py
@@ -174,10 +174,13 @@
     application: Application | None = None
     events: EventLog = field(default_factory=lambda: EventLog("entry-1", HybridClock()))
     bounds: dict[str, Any] = field(default_factory=dict)
+    entry_name: str = "entry-1"
 
     async def start_entry(self) -> Gateway:
         """Start the entry."""
-        fields = settings_fields(self.store.address, bounds=self.bounds)
+        fields = settings_fields(
+            self.store.address, name=self.entry_name, bounds=self.bounds
+        )
         settings = GatewaySettings.model_validate(translate(fields))
         metrics = Metrics(zone=settings.zone)
         store = PlatformStore(settings.store, events=self.events, metrics=metrics)
