Let the soak start an entry on a copy with withdrawn keys

The soak restarted entries beside restorations, but the copy was at most 4 s old and the operator wrote again within 0.3 s, so no key outlived its 5 s.

--- a/soak/__main__.py
+++ b/soak/__main__.py
@@ -24,6 +24,7 @@
     faults,
     pause_past_revocation,
     planned_work,
+    restore_past_revocation,
     restore_store,
 )
 from soak.slow_readers import SlowReader
@@ -68,6 +69,8 @@
             for number in range(SLOW_READERS)
         ]
         await planned_work(world)
+        if command.restorations and world.keys is not None:
+            await restore_past_revocation(world)
         changes.append(asyncio.create_task(deliver_late_reports(world)))
         if world.keys is not None:
             changing = asyncio.create_task(world.keys.keep_changing(world))
--- a/soak/faults.py
+++ b/soak/faults.py
@@ -6,7 +6,7 @@
 import signal
 import time
 from collections.abc import Awaitable, Callable
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 
 from masticdeck.registry import Registry
 from soak.ledger import DRAIN_TIMEOUT_S, REVOCATION_S
@@ -47,6 +47,9 @@
 NOTICE_S = 0.5
 """Time in which every entry in touch learns of a record."""
 
+OPERATOR_S = 2.0
+"""Time after which the operator writes again what a restoration undid."""
+
 Fault = Callable[[World], Awaitable[None]]
 faults: Registry[Fault] = Registry("fault")
 
@@ -123,6 +126,48 @@
         await asyncio.gather(*callers, return_exceptions=True)
 
 
+async def restore_past_revocation(world: World) -> None:
+    """Let an entry start on a copy that has keys which were taken away since.
+
+    The store comes back when they may no longer run, and the operator writes again 2 s
+    later. It plays before the other faults, whose changes of keys would end it early.
+    """
+    assert world.keys is not None
+    entry = world.restore_random.choice(world.entries)
+    if entry.process is None:
+        return
+    earlier = world.store.copy()
+    await asyncio.sleep(NOTICE_S)
+    world.keys.used_only = world.keys.remove_all_but_one(world)
+    await asyncio.sleep(REVOCATION_S)
+    async with disturbance(world):
+        world.ledger.killed.add(entry.incarnation)
+        entry.send(signal.SIGKILL)
+        await entry.process.wait()
+        world.store.refuse_with = 503
+        await entry.start()
+        await asyncio.sleep(NOTICE_S)
+        lost = world.store.copy()
+        world.store.restore(earlier)
+        world.store.refuse_with = None
+        callers = [asyncio.create_task(keep_calling(world, entry)) for _ in range(4)]
+        try:
+            await asyncio.sleep(OPERATOR_S)
+        finally:
+            world.write_again(lost, since=earlier.revision)
+            world.keys.used_only = []
+            for caller in callers:
+                caller.cancel()
+
+
+async def keep_calling(world: World, entry: Entry) -> None:
+    """Use one connection after the other to an entry that may not have started yet."""
+    while True:
+        with suppress(OSError, asyncio.IncompleteReadError):
+            await world.use_connection(entry)
+        await asyncio.sleep(0.05)
+
+
 async def restore_store(world: World) -> None:
     """Let the store come back from a copy a few seconds old, again and again.
 
